Draw cold servers by their part of what all in reach can do

Cause: pick drew a cold server with a chance of warmth/listed, but only among the 16 servers of the gateway's subset, so with 60 listed it got 16/60 of the part it was meant to have; and that part was of the mean work of warm servers, so the work that cold ones did not take fell on the warm ones.

Ruled out: cold servers being slow (they were the fastest), errors, full connection tables.

At fault: the loop in pick that draws each cold server by itself.

Remedy: one draw for all cold servers in reach, with the part that they surely can do of what all in reach can; held to a part of FallMultiple over the mean work, so that a few cold servers left alone are still not pushed over.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,6 +63,7 @@
 	trialMost    = 4 * time.Second        // longest such wait
 	panicShare   = 0.5                    // with fewer servers than this left, suspicion is not believed
 	jitter       = 0.15                   // random spread of the expected times, against herding
+	coldMost     = 0.6                    // part of FallMultiple that a cold server may have of the mean work
 	zoneAversion = 2.0                    // expected time grows by this times the price of leaving the zone
 )
 
@@ -718,8 +719,9 @@
 	}
 	// When most look bad, the cause is not with them: go by the expected times alone.
 	believe := float64(fit) >= panicShare*float64(listed)
-	var best *server
+	var best, cold *server
 	bestTime, bestRank, room := 0.0, math.Inf(1), subset
+	able, coldAble, reach := 0.0, 0.0, 0.0 // of those in reach, in warm servers: can do, cold ones' part, all
 	for _, s := range g.servers {
 		if !s.listed || !r.maySendTo(s, g.now) {
 			continue
@@ -733,23 +735,32 @@
 		if s.Zone != g.set.Zone {
 			rank *= 1 + zoneAversion*g.set.CrossZoneCost
 		}
-		if s.suspended && believe {
+		f := g.warmth(s)
+		able, reach = able+f, reach+1
+		switch {
+		case s.suspended && believe:
 			if !g.mayTry(s, r) {
 				continue
 			}
 			rank = 0
-		} else if f := g.warmth(s); f < 1 {
-			// A cold server is drawn for its part of the mean work, whatever the other gateways do: all
-			// together stay below what it can do, and gateways of few sends use it too.
-			if g.rng.Float64()*float64(listed) >= f {
-				continue
+		case f < 1:
+			if coldAble += f; g.rng.Float64()*coldAble < f {
+				cold = s
 			}
-			rank = 0
+			continue
 		}
 		if rank < bestRank {
 			best, bestTime, bestRank = s, t, rank
 		}
 	}
+	// A cold server is drawn for its part of the work, whatever its times tell: for what it surely can do of
+	// what all in reach can, so that neither warm nor cold ones have more than their share. But of the mean
+	// work it gets no more than coldMost, also where too few are left for that work: all gateways together
+	// stay well below what makes it fall over.
+	share := min(1/able, max(coldMost*g.set.FallMultiple, 1)/reach)
+	if cold != nil && bestRank > 0 && g.rng.Float64() < coldAble*share {
+		best, bestTime = cold, g.expected(cold, r.class)
+	}
 	if best != nil && best.suspended && believe {
 		best.trying, best.proven, bestTime = true, false, 0
 	}
