Spread calls to discovery by the fleet's size, with jitter and backoff

Cause: where discovery must be asked, each node started with a whole list and a watch at once and repeated every failed call 100 ms later, for ever. One node that does so is harmless; 80 make 800 calls a second at a service that takes about 15, works on them in turn and turns away what waited 2 s.

At fault: follow in discovery.go (fixed watchBackoff, whole list first).

Remedy: full jitter with doubling steps (package backoff), where the first step is 80 ms for each node of the fleet and also spreads the first calls; a watch from the version known at the start replaces the whole list.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -5,19 +5,30 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
+	"fawnrelay/internal/backoff"
 	"fawnrelay/logic"
 )
 
 const (
-	watchWait    = 5 * time.Second        // how long discovery may hold a watch
-	watchSlack   = time.Second            // past that it is taken to be silent
-	watchBackoff = 100 * time.Millisecond // before the next call after a failed one
-	listMost     = 8 << 20                // bytes of a list
+	watchWait  = 5 * time.Second // how long discovery may hold a watch
+	watchSlack = time.Second     // past that it is taken to be silent
+	listMost   = 8 << 20         // bytes of a list
+
+	// Where discovery must be asked, it is one service for the whole fleet and works on
+	// calls in turn, also on those that nobody waits for any more. Nodes that start
+	// together, or fail together, would keep its line longer than it lets calls wait, for
+	// ever: so they spread their calls over a time for each node of the fleet, within the
+	// time after which they count as told.
+	watchEach   = 80 * time.Millisecond  // between two nodes' calls, in the mean
+	watchLeast  = 100 * time.Millisecond // the first step of the waits, at least
+	watchSteps  = 4                      // by which the longest one is longer
+	watchStream = 0x646973636f           // keeps these random numbers apart from others of the seed
 )
 
 // List is a list of app servers in discovery's form.
@@ -45,7 +56,17 @@
 func (n *Node) follow() {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	defer client.CloseIdleConnections()
-	addr, index, known := "", int64(0), false
+	step := watchLeast
+	if set := n.cfg.Settings; set.Membership == "ask" {
+		step = max(step, min(time.Duration(set.Gateways)*watchEach, set.Contract.AskEvery))
+	}
+	wait := backoff.Backoff{Least: step, Most: watchSteps * step, Rand: rand.New(rand.NewPCG(n.cfg.Seed, watchStream))}
+	// What is known from the start has a version: a watch from there brings what was missed.
+	addr, index, known := n.cfg.Discovery, n.cfg.Known.Generation, len(n.cfg.Known.Instances) > 0
+	if known {
+		n.pause(n.ctx, wait.Next())
+		wait.Reset()
+	}
 	for n.ctx.Err() == nil {
 		ctx, now := n.watching()
 		if now != addr { // another agent: its versions start anew
@@ -53,12 +74,12 @@
 			addr, known = now, false
 		}
 		url := "http://" + addr + "/api/targets"
-		wait := time.Duration(0)
+		hold := time.Duration(0)
 		if known {
-			wait = watchWait
-			url += "?index=" + strconv.FormatInt(index, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
+			hold = watchWait
+			url += "?index=" + strconv.FormatInt(index, 10) + "&wait=" + strconv.FormatInt(hold.Milliseconds(), 10)
 		}
-		list, err := fetch(ctx, client, url, wait+watchSlack)
+		list, err := fetch(ctx, client, url, hold+watchSlack)
 		if err == nil {
 			if !known || list.Reset {
 				n.applyList(list, logic.ListComplete)
@@ -66,14 +87,20 @@
 				n.applyList(list, logic.ListPartial)
 			}
 			index, known = list.Generation, true
+			wait.Reset()
 			continue
 		}
 		n.log.Debug("discovery", "err", err)
 		client.CloseIdleConnections()
-		select {
-		case <-time.After(watchBackoff):
-		case <-ctx.Done():
-		}
+		n.pause(ctx, wait.Next())
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -122,3 +124,66 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
+
+// Guards discovery against a fleet in step: nodes that start together spread their
+// first calls, ask for what they missed instead of the whole list, and after failed
+// calls wait longer and longer.
+func TestFleetSpreadsItsCallsToDiscovery(t *testing.T) {
+	uris := make(chan string, 1024)
+	disco := startApp(t, func(c net.Conn, req *http.Request, _ []byte) bool {
+		uris <- req.RequestURI
+		fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	const fleet, failures = 80, 4
+	window := fleet * watchEach
+	quarters := [4]int{} // of the window, in which nodes make their first call
+	first, later := time.Duration(0), time.Duration(0)
+	for seed := range uint64(fleet) {
+		cfg := testConfig(t)
+		cfg.Discovery, cfg.Seed, cfg.Settings.Gateways = disco.addr, seed, fleet
+		cfg.Settings.Membership, cfg.Settings.Contract.AskEvery = "ask", 10*time.Second
+		cfg.Known = List{Generation: 41, Instances: []Instance{{ID: "s-0", HostPort: "127.0.0.1:9", Lifecycle: "SERVING"}}}
+		n, err := New(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var waits []time.Duration
+		n.pause = func(_ context.Context, d time.Duration) {
+			if waits = append(waits, d); len(waits) > failures {
+				n.stop()
+			}
+		}
+		n.follow()
+		if len(waits) != failures+1 || waits[0] < 0 || waits[0] >= window {
+			t.Fatalf("waits %v, want %d and the first within %v", waits, failures+1, window)
+		}
+		quarters[waits[0]*4/window]++
+		first, later = first+waits[1], later+waits[failures]
+	}
+	for range fleet * failures {
+		if uri := <-uris; !strings.HasPrefix(uri, "/api/targets?index=41&") {
+			t.Fatalf("call %q, want a watch from what is known", uri)
+		}
+	}
+	for i, k := range quarters {
+		if k < fleet/4/3 || k > fleet/4*2 {
+			t.Errorf("%d of %d first calls in quarter %d of %v", k, fleet, i, window)
+		}
+	}
+	cfg := testConfig(t)
+	cfg.Settings.Gateways, cfg.Known.Instances = fleet, []Instance{{ID: "s-0", Lifecycle: "SERVING"}}
+	n, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.pause = func(_ context.Context, d time.Duration) {
+		if n.stop(); d > watchLeast {
+			t.Errorf("a first call waits %v though news are pushed", d)
+		}
+	}
+	n.follow()
+	if later < 3*first {
+		t.Errorf("waits after %d failures last %v in the mean, after one %v", failures, later/fleet, first/fleet)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,8 +52,9 @@
 	stop  context.CancelFunc
 	// drainAccept is how long new connections are taken after a stop was asked for.
 	drainAccept time.Duration
-	bodies      atomic.Int64   // bytes of bodies that may still be taken in
-	worker      sync.WaitGroup // goroutines besides those of the listener
+	pause       func(context.Context, time.Duration) // between calls to discovery
+	bodies      atomic.Int64                         // bytes of bodies that may still be taken in
+	worker      sync.WaitGroup                       // goroutines besides those of the listener
 
 	clients clientConns // locks for itself
 
@@ -105,7 +106,7 @@
 func New(cfg Config, log *slog.Logger) (*Node, error) {
 	began := time.Now()
 	n := &Node{cfg: cfg, log: log, began: began, epoch: logic.Time(began.UnixNano()),
-		requests: map[string]*request{}, drainAccept: drainAccept,
+		requests: map[string]*request{}, drainAccept: drainAccept, pause: pause,
 		failed: make(chan error, 1), discovery: cfg.Discovery}
 	gw, err := logic.New(n.epoch, cfg.Settings.Logic(cfg.Seed))
 	if err != nil {
