Call the counter less when its answers come late

Cause: the share of tries that may call fell only when calls failed. An answer after 200 ms is an answer to the counter's client, but no try is held for longer than 80 ms: so 80 gateways kept the counter's line full with calls that helped nobody, each of them seeing nothing but successes.

At fault: the switch in Gateway.count, which knew no time.

Remedy: an answer later than a part of CountWait cuts the share like a failure.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -174,3 +174,23 @@
 		t.Errorf("customers that ask four times their quota got %.2f times it", beyond)
 	}
 }
+
+func TestFleetKeepsTheCountersLineShort(t *testing.T) {
+	// The counter serves a third of what the fleet would call. What waits for it longer than tries are held is
+	// of no use, so the gateways together must call less than it serves.
+	set := settings()
+	set.Plans[0].OverCost = 1
+	rate := func(int, time.Duration) float64 { return 16 }
+	l := &line{numbers: numbers{}, each: 10 * ms}
+	rigs := fleetOf(t, 60, set, fleetList(0, 0))
+	rng := rand.New(rand.NewPCG(7, 8))
+	through(rigs, l, rng, 20*time.Second, 20, rate)
+	before := l.calls
+	through(rigs, l, rng, 10*time.Second, 20, rate)
+	if k := l.calls - before; k > 1100 || k < 300 {
+		t.Errorf("%d calls in 10 s to a counter that serves 1000", k)
+	}
+	if wait := l.idleAt - rigs[0].now; wait > 5*set.CountWait {
+		t.Errorf("its line is %v long", wait)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	shareLeast    = 0.03                   // least such share: it finds out when the counter is back
 	shareMost     = 2.0                    // most; above 1 also tries call of which little is unknown
 	beat          = 100 * time.Millisecond // between own timers by which standstills are noticed
+	countLate     = 0.4                    // part of CountWait after which an answer tells that calls crowd
 	standstill    = 250 * time.Millisecond // a beat this much late: the gateway stood still
 	standstills   = 30 * time.Second       // after one, tries are not held for a call for this long
 	beyondGain    = 0.05                   // weight of one counted try in a share of tries beyond quotas
@@ -207,9 +208,11 @@
 }
 
 func (g *Gateway) count(name uint64, units float64, lives time.Duration, f func(Counted)) {
+	called := g.now
 	g.counts[name] = append(g.counts[name], func(r Counted) {
 		switch {
-		case r.Outcome != Pass:
+		// A late answer tells of a line at the counter, in which those of all gateways wait for nothing.
+		case r.Outcome != Pass || g.now-called > time.Duration(countLate*float64(g.set.CountWait)):
 			g.calling, g.went = max(g.calling*shareCut, shareLeast), g.went*shareForget
 		case g.calling < g.went*shareCut:
 			g.calling *= shareRegain
