Send no second copies while servers tell that they are busy

Cause: a gateway sends a copy of a request that takes three times the expected time, for up to a fifth of its requests. Alone it adds little; when servers fall behind all gateways do it at once, and as servers do not stop cancelled work the copies lengthen the queues that called for them.

Until now the real node read no loads: it knew only the names of another site's reports (util, latency_ms), not those of the settings (busy, lat_ms).

At fault: the timer in send that knows nothing of load; parseReport.

Remedy: the mean of the loads told; from 0.75 on no copy is sent. Retries after a failed attempt stay. Tried and dropped: ranking servers by the load each told (smoothed or not). Refusing by it, and counting lost attempts more strictly under load, gained nothing that held.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -423,13 +423,13 @@
 			continue
 		}
 		switch name {
-		case "inflight":
+		case "inflight", "rif":
 			r.InFlight = &v
-		case "queue":
+		case "queue", "q":
 			r.Queue = &v
-		case "util":
+		case "util", "busy":
 			r.Busy = &v
-		case "latency_ms":
+		case "latency_ms", "lat_ms":
 			r.LatencyMS = &v
 		}
 	}
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -314,3 +314,20 @@
 		eventually(t, fmt.Sprintf("request %d", i+1), func() bool { return len(app.requests()) == i+1 })
 	}
 }
+
+// Guards the load reports: the names of the settings are read beside the others.
+func TestReportNames(t *testing.T) {
+	for _, text := range []string{
+		"TEXT busy=0.61, lat_ms=14.5, rif=7, q=2",
+		"TEXT util=0.61, latency_ms=14.5, inflight=7, queue=2",
+	} {
+		r := parseReport(text)
+		if r.Busy == nil || r.LatencyMS == nil || r.InFlight == nil || r.Queue == nil {
+			t.Errorf("%s: not all read", text)
+			continue
+		}
+		if *r.Busy != 0.61 || *r.LatencyMS != 14.5 || *r.InFlight != 7 || *r.Queue != 2 {
+			t.Errorf("%s: read as %v, %v, %v, %v", text, *r.Busy, *r.LatencyMS, *r.InFlight, *r.Queue)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,6 +61,7 @@
 	silenceCount = 3                      // unanswered attempts beyond this prove no more
 	trialBackoff = 500 * time.Millisecond // first wait before a suspended server is tried
 	trialMost    = 4 * time.Second        // longest such wait
+	busyGain     = 0.05                   // weight of one report in the mean load of the servers
 	panicShare   = 0.5                    // with fewer servers than this left, suspicion is not believed
 	jitter       = 0.15                   // random spread of the expected times, against herding
 	coldMost     = 0.6                    // part of FallMultiple that a cold server may have of the mean work
@@ -80,6 +81,7 @@
 	copyAfter    = 3.0             // expected times after which a second copy is sent
 	copyEarliest = 0.15            // part of the aim; no copy before
 	copyLatest   = 0.5             // part of the aim; no later if at all
+	copyBusy     = 0.75            // load that servers tell, from which copies only lengthen queues
 	attemptsMost = 4               // attempts of one request, whatever the settings allow
 	againEarn    = 0.2             // further attempts that each first attempt pays for
 	againMost    = 20.0            // further attempts that may be saved up
@@ -103,6 +105,7 @@
 	slot, slotSeen    []float64            // by class: seconds for each attempt at the server, answers in it
 	lag               float64              // usual lag of an answer, seconds
 	errors            float64              // share of errors over all servers
+	busy              float64              // how busy servers tell to be, in the mean
 	calling, went     float64              // share of tries that may call the counter; the one that went well
 	beatAt, stalledAt Time                 // when the next beat is due, and the last standstill
 	beyond            [][evidences]float64 // by plan and what is known: share of counted tries beyond
@@ -882,7 +885,7 @@
 		aim := r.kind.Aim.Seconds()
 		after := min(max(copyAfter*expected, copyEarliest*aim), copyLatest*aim)
 		g.wake(seconds(after), func() {
-			if !r.over && !r.streamed && r.outstanding() == 1 {
+			if !r.over && !r.streamed && r.outstanding() == 1 && g.busy < copyBusy {
 				g.tryAgain(r)
 			}
 		})
@@ -924,6 +927,9 @@
 	a.server.out--
 	r.customer.open--
 	g.learn(r, a, ev.Outcome, ev.Lag.Seconds())
+	if b := ev.Report.Busy; b != nil {
+		g.busy += busyGain * (min(max(*b, 0), 1) - g.busy)
+	}
 	if ev.Outcome == Pass && !r.over && g.set.TruedUp && ev.TrueUnits > 0 {
 		r.customer.level -= ev.TrueUnits - r.units
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1098,3 +1098,26 @@
 		}
 	}
 }
+
+func TestNoCopyWhileServersTellThatTheyAreBusy(t *testing.T) {
+	for _, c := range []struct {
+		busy   float64
+		copies bool
+	}{{0.3, true}, {0.95, false}} {
+		r := newRig(t, settings(), 6)
+		for range 100 {
+			r.run(10*ms, totals(0))
+			id, as := r.arrive(0, 1, 1, 1)
+			for _, s := range sent(as) {
+				r.step(logic.Ended{ID: id, Server: s.Server, Outcome: logic.Pass, Lag: 20 * ms, Over: true,
+					Report: logic.Report{Busy: &c.busy}})
+			}
+		}
+		if _, as := r.arrive(0, 1, 1, 1); len(sent(as)) != 1 {
+			t.Fatal("not sent")
+		}
+		if copied := len(sent(r.run(400*ms, totals(0)))) > 0; copied != c.copies {
+			t.Errorf("servers %v busy: a second copy %v, want %v", c.busy, copied, c.copies)
+		}
+	}
+}
