--- a/logic/logic.go
+++ b/logic/logic.go
@@ -81,7 +81,7 @@
 	copyAfter    = 3.0             // expected times after which a second copy is sent
 	copyEarliest = 0.15            // part of the aim; no copy before
 	copyLatest   = 0.5             // part of the aim; no later if at all
-	copyBusy     = 0.6             // load that servers tell, from which copies only lengthen queues
+	copyBusy     = 0.5             // load that servers tell, from which copies only lengthen queues
 	attemptsMost = 4               // attempts of one request, whatever the settings allow
 	againEarn    = 0.2             // further attempts that each first attempt pays for
 	againMost    = 20.0            // further attempts that may be saved up
