Settle quotas by the true units that answers tell

Each gateway's errors are small; in one number for all of them they add up until the store is far from the real one.

At fault: exchange and end in the node; place, which forgot a try once sent.

Remedy: the node passes on what can be read and is in range; a placed try that was off by a unit or more is settled at the counter's store while the counter has calls to spare.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -310,6 +310,6 @@
 	r := a.request
 	r.out--
 	n.post(logic.Ended{ID: r.id, Attempt: a.number, Server: a.target, Outcome: o, Lag: time.Since(a.sent),
-		Over: r.final, Report: report})
+		Over: r.final, TrueUnits: a.units, Report: report})
 	n.release(r)
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -231,6 +231,7 @@
 	conn    *conn              // set while the attempt owns one
 	cancel  context.CancelFunc // of the dial
 	ended   bool
+	units   float64 // that the request truly took, as the answer told; 0: not told
 }
 
 // abandon stops waiting for an attempt: it ends its timer, dial and connection.
@@ -358,6 +359,9 @@
 	if r := a.request; got.outcome == logic.Pass && !r.final {
 		n.settle(r, answer{status: http.StatusOK, body: got.body, contentType: got.contentType})
 	}
+	if most := n.cfg.Settings.Family.MostUnits; most <= 0 || got.units <= most {
+		a.units = got.units
+	}
 	n.end(a, got.outcome, got.report)
 }
 
@@ -367,7 +371,8 @@
 	body        []byte
 	contentType []string
 	report      logic.Report
-	reusable    bool // the connection is good for another request
+	units       float64 // that the request truly took; 0: not told
+	reusable    bool    // the connection is good for another request
 }
 
 // exchange writes one request and reads the whole answer. Only what proves that
@@ -404,6 +409,7 @@
 		r.outcome = logic.Full
 	case resp.StatusCode == http.StatusOK:
 		r.outcome, r.body, r.contentType = logic.Pass, body, resp.Header["Content-Type"]
+		r.units, _ = decimal(resp.Header.Get("Api-Charge")) // 0 if it can't be read
 	}
 	return r
 }
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -331,3 +331,37 @@
 		}
 	}
 }
+
+// charges notes the true units of the attempts that end.
+type charges struct {
+	module
+	got chan float64
+}
+
+func (c charges) Step(now logic.Time, ev logic.Event, out []logic.Action) []logic.Action {
+	if e, ok := ev.(logic.Ended); ok {
+		c.got <- e.TrueUnits
+	}
+	return c.module.Step(now, ev, out)
+}
+
+// Guards the settling of quotas: the true units of an answer reach the module, ones
+// that can't be read or can't be do not.
+func TestTrueUnitsReachTheModule(t *testing.T) {
+	for text, want := range map[string]float64{"3": 3, "2.5": 2.5, "-1": 0, "NaN": 0, "1e9": 0, "999999": 0, "": 0} {
+		app := startApp(t, say("HTTP/1.1 200 OK\r\nApi-Charge: "+text+"\r\nContent-Length: 2\r\n\r\nok"))
+		cfg := testConfig(t)
+		cfg.Settings.Family.MostUnits = 6
+		r := startNode(t, cfg, app.addr)
+		c := charges{module: r.node.gateway, got: make(chan float64, 8)}
+		r.node.mu.Lock()
+		r.node.gateway = c
+		r.node.mu.Unlock()
+		if resp, _ := r.dial().ask(clientRequest("merge", "00000000000000aa")); resp.StatusCode != http.StatusOK {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+		if got := <-c.got; got != want {
+			t.Errorf("Api-Charge %q: the module was told %v, want %v", text, got, want)
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -829,6 +829,7 @@
 	kind                   *Class
 	customer               *customer
 	units                  float64
+	held                   bool // it took its units from the counter's store
 	aim                    Time // an answer later than this is worth little
 	deadline               Time // the client gives up
 	attempts               []attempt
@@ -932,6 +933,7 @@
 	}
 	if ev.Outcome == Pass && !r.over && g.set.TruedUp && ev.TrueUnits > 0 {
 		r.customer.level -= ev.TrueUnits - r.units
+		g.settle(r, ev.TrueUnits)
 	}
 	switch {
 	case ev.Over || ev.Outcome == Pass:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1121,3 +1121,33 @@
 		}
 	}
 }
+
+func TestTrueUnitsSettleThePlacedTries(t *testing.T) {
+	for units, want := range map[float64]float64{1: 1, 3: 3} {
+		set := settings()
+		set.TruedUp, set.Plans[0].OverCost = true, 1
+		r := newRig(t, set, 6)
+		counter := numbers{}
+		r.step(logic.Arrived{ID: "a", Customer: 1, Patience: 2 * time.Second, Units: 1, Spread: 100})
+		for _, s := range sent(r.run(ms, counter.add)) {
+			r.step(logic.Ended{ID: s.ID, Server: s.Server, Outcome: logic.Pass, Lag: 20 * ms, Over: true, TrueUnits: units})
+		}
+		r.run(ms, counter.add)
+		held := 0.0
+		for _, n := range counter {
+			held = max(held, n)
+		}
+		// The number also holds what had refilled a full store before the try.
+		r2 := newRig(t, set, 6)
+		before := numbers{}
+		r2.step(logic.Arrived{ID: "a", Customer: 1, Patience: 2 * time.Second, Units: 1, Spread: 100})
+		r2.run(ms, before.add)
+		base := 0.0
+		for _, n := range before {
+			base = max(base, n)
+		}
+		if got := held - base + 1; got < want-1e-6 || got > want+1e-6 {
+			t.Errorf("a guess of 1 that truly was %v took %v units of the store", units, got)
+		}
+	}
+}
--- a/logic/place.go
+++ b/logic/place.go
@@ -13,6 +13,7 @@
 	placeLives  = time.Minute      // for which it is kept: also while the next one is in use
 	placeLeast  = 0.2              // least weight of a try's worth at risk in its chance to call
 	surplusMost = 0.25             // part of the burst by which a number may show more than a full store
+	settleLeast = 1.0              // units by which a guess must be off for a call of its own
 	lossLeast   = 0.5              // part of the burst that a number must lack to have lost counts
 )
 
@@ -118,6 +119,7 @@
 		}
 		if room && len(r.attempts) > 0 { // it takes its units
 			c.store.total, c.store.level = c.store.total+units, level-units
+			r.held = true
 			return
 		}
 		g.count(name, -units, placeLives, func(Counted) {})
@@ -153,6 +155,16 @@
 	return level
 }
 
+// settle puts the store right by a placed request's true units, where the counter has calls to spare.
+func (g *Gateway) settle(r *request, units float64) {
+	c := r.customer
+	if diff := units - r.units; r.held && math.Abs(diff) >= settleLeast && g.calling >= 1 {
+		name, _ := g.number(c, g.span(c))
+		c.store.total, c.store.level = c.store.total+diff, c.store.level-diff
+		g.count(name, diff, placeLives, func(Counted) {})
+	}
+}
+
 // carryOver begins a new span with what the last one left in the store.
 func (g *Gateway) carryOver(c *customer, span int64) {
 	name, _ := g.number(c, span)
