--- a/logic/api.go
+++ b/logic/api.go
@@ -3,7 +3,7 @@
 // clock: the caller hands each event to [Gateway.Step] with the time at which it
 // happened and carries out the actions that come back, in their order.
 //
-// This file is the whole interface; the decisions are in logic.go.
+// This file is the whole interface; the decisions are in logic.go and place.go.
 package logic
 
 import "time"
--- a/logic/place.go
+++ b/logic/place.go
@@ -135,7 +135,7 @@
 }
 
 // readStore takes what the counter tells of a customer's store, before what was added by the call, and
-// returns its level. It puts the number right where it shows more than a full store, has lost counts or is new.
+// returns its level. It puts the number right where that shows more than a full store, lost counts or is new.
 func (g *Gateway) readStore(c *customer, span int64, total float64) float64 {
 	p := c.plan
 	name, age := g.number(c, span)
