Drain: read what is on its way, and answer all before SIGKILL may come

Seen, reading serve and the library it drives line by line with a request placed between each two: - Drain lasted the longest deadline and 0.2 s (4.2 s here), SIGKILL comes from min(longest, 3 s) + 0.7 s: what waits longest is found unanswered. Under a short deadline it is the other way round: a request taken 0.5 s after SIGTERM was cut by srv.Close at the deadline + 0.2 s, before its own time was up. - srv.Shutdown, called once the listener ends: from then on net/http returns right after readRequest (server.go, shuttingDown) and drops a whole request unanswered. - closeIdle, at the same time, closed connections with half a request on them, and new ones whose request was in the kernel: clients send again only on kept connections. - SetKeepAlivesEnabled(false) closes connections of StateIdle; a connection keeps that state until its whole head is read, so one with a request begun went too. Eviction closed one whose request was read but not yet taken, and the request still went out, while its client sends it again: an unsafe one could run twice. - Accept with an expired deadline fails without a look at the connections that wait.

Ruled out: ReadTimeout ending a longer request. startBackgroundRead sets the deadline of the read to none (server.go 697), and TestReadTimeout holds it.

Remedy: clientConn is the connection itself, so that a close by this side and the first byte of a request exclude each other under one lock; new connections get until a last deadline for what is on its way; the end waits for the connections instead of calling Shutdown; before SIGKILL may come every open request gets its final answer. The error of a drain that runs out of time is gone, as nothing is left unanswered then.

Each test of drain_test.go fails with its line put back (run so: no answerAll and the old time; Close for SetReadDeadline; Shutdown; SetKeepAlivesEnabled; no second Accept; took and Read without the look at shut) and passes 30 times with -race.

--- a/cmd/fawnrelay/main.go
+++ b/cmd/fawnrelay/main.go
@@ -38,7 +38,7 @@
 		go reload(hangup, path, n, log)
 		err = n.Run(ctx)
 	}
-	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "fawnrelay:", err)
 		os.Exit(1)
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -35,10 +35,20 @@
 	writeTimeout = 10 * time.Second
 	idleTimeout  = 5 * time.Second // for a client's next request
 
-	// drainAccept is how long new connections are taken after a stop was asked for.
+	// drainAccept is how long new connections are taken after a stop was asked for;
+	// drainRead is how long after that a request on its way has to come whole. What
+	// comes later than 0.7 s after SIGTERM would have to be answered before SIGKILL.
 	drainAccept = 500 * time.Millisecond
-	// drainSlack is how long past the longest deadline open requests are finished.
-	drainSlack = 200 * time.Millisecond
+	drainRead   = 150 * time.Millisecond
+	// SIGKILL comes after SIGTERM no sooner than the longest deadline, counted as
+	// killMost where it is longer, and killSlack. drainLead before that, what is still
+	// open gets its final answer; drainWrite is for writing those.
+	killMost   = 3 * time.Second
+	killSlack  = 700 * time.Millisecond
+	drainLead  = 100 * time.Millisecond
+	drainWrite = drainLead / 2
+	// acceptLast is for taking in the connections that came before the listener closes.
+	acceptLast = 10 * time.Millisecond
 
 	// clientShareOpen is the share of the descriptors that client connections may take.
 	clientShareOpen = 0.42
@@ -80,7 +90,7 @@
 	n.start()
 	defer n.close()
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(drainListener{ln}) }()
+	go func() { served <- srv.Serve(&drainListener{TCPListener: ln, clients: &n.clients}) }()
 	n.log.Info("serving", "listen", ln.Addr().String())
 	select {
 	case err := <-served:
@@ -89,122 +99,241 @@
 		return errors.Join(err, srv.Close())
 	case <-ctx.Done():
 	}
+	asked := time.Now()
+	n.log.Info("draining")
 	n.mu.Lock()
 	n.draining = true
 	n.mu.Unlock()
-	n.log.Info("draining")
-	srv.SetKeepAlivesEnabled(false) // closes idle connections, and others after their answer
-	asked := time.Now()
-	if err := ln.SetDeadline(asked.Add(n.drainAccept)); err != nil {
+	n.clients.drain() // others close after their answer
+	if err := ln.SetDeadline(asked.Add(n.drain.accept)); err != nil {
 		return fmt.Errorf("closing the listener: %w", err)
 	}
 	<-served
-	n.clients.closeIdle() // also those on which nothing was ever sent: Shutdown would wait for them
-	stop, cancel := context.WithDeadline(context.Background(), asked.Add(n.longestDeadline()+drainSlack))
-	defer cancel()
-	if err := srv.Shutdown(stop); err != nil {
-		n.log.Warn("requests left open at the end of draining", "err", err)
-		return errors.Join(err, srv.Close())
+	n.clients.lastCall(time.Now().Add(n.drain.read))
+	n.mu.Lock()
+	n.after(time.Until(asked.Add(n.drain.answer)), n.answerAll)
+	n.mu.Unlock()
+	// Not Shutdown: from then on the library drops what it reads, without an answer.
+	select {
+	case <-n.clients.gone():
+		n.log.Info("drained")
+	case <-time.After(time.Until(asked.Add(n.drain.answer + n.drain.write))):
+		n.log.Warn("connections left open at the end of draining")
 	}
-	n.log.Info("drained")
-	return nil
+	return srv.Close()
+}
+
+// drainTimes are the steps of a planned restart.
+type drainTimes struct {
+	accept time.Duration // after the stop, new connections are taken until then
+	read   time.Duration // and requests on their way are read for this long more
+	answer time.Duration // after the stop, all is answered by then
+	write  time.Duration // and written by this much later
+}
+
+func newDrainTimes(longestDeadline time.Duration) drainTimes {
+	return drainTimes{accept: drainAccept, read: drainRead,
+		answer: min(longestDeadline, killMost) + killSlack - drainLead, write: drainWrite}
 }
 
-// drainListener ends Serve once its deadline has passed. The library takes a
-// time-out of Accept for a passing trouble and would try again for ever.
-type drainListener struct{ *net.TCPListener }
+// answerAll gives all open requests their final answer, as their process is about to
+// be killed. The lock is held.
+func (n *Node) answerAll() {
+	n.over = true
+	for _, r := range n.requests {
+		n.expire(r)
+	}
+}
+
+// drainListener makes the connections that clientConns knows and ends Serve once its
+// deadline has passed. The library takes a time-out of Accept for a passing trouble and
+// would try again for ever.
+type drainListener struct {
+	*net.TCPListener
+	clients *clientConns
+	last    bool // the deadline has passed: only what has come by then is taken
+}
 
-func (l drainListener) Accept() (net.Conn, error) {
+func (l *drainListener) Accept() (net.Conn, error) {
 	c, err := l.AcceptTCP()
+	if errors.Is(err, os.ErrDeadlineExceeded) && !l.last {
+		// The error comes without a look at the connections that wait, and closing the
+		// listener would reset them and the requests written to them.
+		l.last = true
+		if err := l.SetDeadline(time.Now().Add(acceptLast)); err != nil {
+			return nil, fmt.Errorf("closing the listener: %w", err)
+		}
+		c, err = l.AcceptTCP()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, net.ErrClosed
 	}
 	if err != nil {
 		return nil, err
 	}
-	return c, nil
+	return &clientConn{Conn: c, owner: l.clients}, nil
 }
 
-// clientConns bounds the connections of clients.
+// clientConns bounds the connections of clients and closes those that carry nothing
+// when the node drains.
 type clientConns struct {
 	most int
 
-	mu   sync.Mutex
-	open map[net.Conn]*clientConn
+	mu       sync.Mutex
+	open     map[net.Conn]*clientConn
+	draining bool
+	empty    chan struct{} // closed when none is open any more; nil: nobody waits for that
 }
 
-// clientConn is what is known of one connection. Its owner's lock guards it.
+// clientConn is one connection of a client. Its owner's lock guards what is known of
+// it. This side closes it only while no request on it is taken, and then nothing more
+// is read from it: a request that crosses the close is either served or was never
+// read, and the client sends it again.
 type clientConn struct {
-	owner   *clientConns
-	since   time.Time // of its start, or of its last request's end
+	net.Conn
+	owner *clientConns
+	since time.Time // of its start, or of its last request's end
+	idle, // answered, and nothing of the next request was read
 	proven, // it has sent a whole request
-	busy bool // a whole request of it is under way
+	busy, // a whole request of it is under way
+	shut bool // closed by this side between requests
 }
 
 type clientConnKey struct{}
 
+// Read reads for the library. Once the connection is shut there is nothing to read,
+// whatever came meanwhile.
+func (c *clientConn) Read(b []byte) (int, error) {
+	k, err := c.Conn.Read(b)
+	if k > 0 {
+		c.owner.mu.Lock()
+		defer c.owner.mu.Unlock()
+		if c.shut {
+			return 0, io.EOF
+		}
+		c.idle = false
+	}
+	return k, err
+}
+
+// close shuts a connection between requests. The owner's lock is held.
+func (c *clientConn) close() {
+	c.shut = true
+	c.Conn.Close() // its state becomes closed in due course
+}
+
 // context takes in a new connection and lets its handler find what is known of
 // it. Beyond the limit the longest idle of those without a request in hand makes
 // room, where a moment weighs more on one that never sent a whole request; if all
 // are busy the new one goes.
-func (k *clientConns) context(ctx context.Context, c net.Conn) context.Context {
+func (k *clientConns) context(ctx context.Context, nc net.Conn) context.Context {
+	c := nc.(*clientConn) // made by drainListener
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.open) >= k.most {
 		out, longest, now := c, time.Duration(-1), time.Now()
-		for other, f := range k.open {
+		for _, f := range k.open {
 			idle := now.Sub(f.since)
 			if !f.proven {
 				idle *= unprovenWeight
 			}
 			if !f.busy && idle > longest {
-				out, longest = other, idle
+				out, longest = f, idle
 			}
 		}
-		out.Close() // its state becomes closed in due course
-		if delete(k.open, out); out == c {
-			return ctx
-		}
+		out.close()
+		delete(k.open, out)
 	}
-	f := &clientConn{owner: k, since: time.Now()}
-	k.open[c] = f
-	return context.WithValue(ctx, clientConnKey{}, f)
+	if c.since = time.Now(); !c.shut {
+		k.open[c] = c
+	}
+	return context.WithValue(ctx, clientConnKey{}, c)
 }
 
-// took notes that a whole request has come on the connection of a handler.
-func took(ctx context.Context) {
-	if c, _ := ctx.Value(clientConnKey{}).(*clientConn); c != nil {
-		c.owner.mu.Lock()
-		defer c.owner.mu.Unlock()
-		c.proven, c.busy = true, true
-	}
+// took notes that a whole request has come on the connection of a handler. It reports
+// false if this side has closed the connection before: the client sends it again.
+func took(ctx context.Context) bool {
+	c, _ := ctx.Value(clientConnKey{}).(*clientConn)
+	if c == nil {
+		return true
+	}
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.shut {
+		return false
+	}
+	c.proven, c.busy = true, true
+	if c.owner.draining {
+		c.SetReadDeadline(time.Time{}) // lastCall may have set one, which would pass for a client gone
+	}
+	return true
 }
 
 // note follows the state of a connection.
-func (k *clientConns) note(c net.Conn, state http.ConnState) {
+func (k *clientConns) note(nc net.Conn, state http.ConnState) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		if f := k.open[c]; f != nil {
-			f.busy, f.since = false, time.Now()
+		if c := k.open[nc]; c != nil {
+			c.idle, c.busy, c.since = true, false, time.Now()
+			if k.draining {
+				c.close() // its answer went out before it could say so
+			}
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(k.open, c)
+		if delete(k.open, nc); len(k.open) == 0 && k.empty != nil {
+			close(k.empty)
+			k.empty = nil
+		}
+	}
+}
+
+// drain closes the idle connections, now and as they become idle. New ones on which
+// nothing came yet are left: their clients would not send again what is on its way.
+func (k *clientConns) drain() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.draining = true
+	for _, c := range k.open {
+		if c.idle {
+			c.close()
+		}
 	}
 }
 
-// closeIdle closes the connections on which no request is under way.
-func (k *clientConns) closeIdle() {
+// lastCall gives what is still on its way until a deadline to come.
+func (k *clientConns) lastCall(deadline time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for c, f := range k.open {
-		if !f.busy {
-			c.Close()
+	for _, c := range k.open {
+		if !c.busy {
+			c.SetReadDeadline(deadline)
 		}
 	}
 }
 
+// gone returns a channel that is closed once no connection is open. There are no new
+// ones by then.
+func (k *clientConns) gone() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	gone := make(chan struct{})
+	if len(k.open) == 0 {
+		close(gone)
+	} else {
+		k.empty = gone
+	}
+	return gone
+}
+
+// closing reports whether connections are to be closed after their answer.
+func (k *clientConns) closing() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.draining
+}
+
 // longestDeadline is the longest that a client waits, over all classes.
 func (n *Node) longestDeadline() time.Duration {
 	longest := time.Duration(0)
@@ -232,7 +361,10 @@
 	}
 	r, ev, err := n.parse(req)
 	if err == nil {
-		if took(req.Context()); !n.arrive(r, ev) {
+		if !took(req.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		if !n.arrive(r, ev) {
 			err = errors.New("a request of this id is open")
 		}
 	}
@@ -251,6 +383,9 @@
 	h := w.Header()
 	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
 	h["Content-Type"] = a.contentType // as the app server named it; the library would guess
+	if n.clients.closing() {
+		h.Set("Connection", "close")
+	}
 	if a.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -262,6 +397,9 @@
 	n.mu.Lock()
 	ready := !n.draining && n.pool.serving > 0
 	n.mu.Unlock()
+	if n.clients.closing() {
+		w.Header().Set("Connection", "close")
+	}
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
--- /dev/null
+++ b/internal/node/drain_test.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"fawnrelay/logic"
+)
+
+// Guards what is open when the process is about to be killed: it gets a whole final
+// answer, and the node ends by itself with nothing left open.
+func TestDrainAnswersBeforeTheKill(t *testing.T) {
+	app := startApp(t, func(net.Conn, *http.Request, []byte) bool { return true }) // never answers
+	r := startNode(t, testConfig(t), app.addr)
+	r.node.drain.answer = 50 * time.Millisecond // long before the request's own time is up
+	r.node.drain.write = patience
+	c := r.dial()
+	io.WriteString(c, clientRequest("merge", "00000000000000aa"))
+	eventually(t, "the attempt", func() bool { return len(app.requests()) == 1 })
+	r.stop()
+	if resp, _ := c.answer(); resp.StatusCode != http.StatusGatewayTimeout || !resp.Close {
+		t.Errorf("status %d, closing %v", resp.StatusCode, resp.Close)
+	}
+	if err := <-r.done; err != nil {
+		t.Errorf("the node ends with %v", err)
+	}
+	r.done <- nil
+	late := &request{id: "late"}
+	r.node.arrive(late, arrived(late.id))
+	if a := <-late.answer; a.status != statusRefused {
+		t.Errorf("a request that comes later is answered %d", a.status)
+	}
+}
+
+// Guards the time that open requests have: for each deadline it ends before SIGKILL may
+// come, and where the deadline is short a request taken last has all of its own time.
+func TestDrainTime(t *testing.T) {
+	for _, longest := range []time.Duration{300 * time.Millisecond, 1100 * time.Millisecond, 2500 * time.Millisecond,
+		4 * time.Second, 30 * time.Second} {
+		kill := min(longest, 3*time.Second) + 700*time.Millisecond
+		if got := newDrainTimes(longest).answer; got >= kill || got < kill-150*time.Millisecond {
+			t.Errorf("deadline %v: drained for %v, killed after %v", longest, got, kill)
+		}
+		if last := drainAccept + longest; longest <= 3*time.Second && newDrainTimes(longest).answer < last {
+			t.Errorf("deadline %v: drained for %v, requests taken by then may go on until %v", longest, newDrainTimes(longest).answer, last)
+		}
+	}
+}
+
+// Guards a request that comes in two parts with the end of the listener between them:
+// it is read to its end and served.
+func TestDrainReadsWhatIsOnItsWay(t *testing.T) {
+	r := startNode(t, testConfig(t), startApp(t, say(hello)).addr)
+	r.node.drain.read, r.node.drain.answer = patience, patience
+	text := clientRequest("merge", "00000000000000aa")
+	silent, half, body := r.dial(), r.dial(), r.dial() // nothing, half a head and half a body before the stop
+	io.WriteString(half, text[:40])
+	io.WriteString(body, text[:len(text)-5])
+	eventually(t, "the connections", func() bool {
+		r.node.clients.mu.Lock()
+		defer r.node.clients.mu.Unlock()
+		return len(r.node.clients.open) >= 3
+	})
+	r.stop()
+	eventually(t, "the end of the listener", func() bool {
+		c, err := net.Dial("tcp", r.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	io.WriteString(silent, clientRequest("lookup", "00000000000000bb"))
+	io.WriteString(half, clientRequest("merge", "00000000000000cc")[40:])
+	io.WriteString(body, text[len(text)-5:])
+	for i, c := range []*client{silent, half, body} {
+		if resp, got := c.answer(); resp.StatusCode != http.StatusOK || got != "hello" || !resp.Close {
+			t.Errorf("connection %d: status %d, body %q, closing %v", i, resp.StatusCode, got, resp.Close)
+		}
+	}
+}
+
+// Guards a request of which the first byte has been read on a kept connection when the
+// word to stop comes: the connection is not idle any more, and the request is served.
+func TestDrainCrossesARequestBegun(t *testing.T) {
+	r := startNode(t, testConfig(t), startApp(t, say(hello)).addr)
+	r.node.drain.read, r.node.drain.answer = patience, patience
+	c := r.dial()
+	c.ask(clientRequest("lookup", "00000000000000aa"))
+	idle := func() int {
+		r.node.clients.mu.Lock()
+		defer r.node.clients.mu.Unlock()
+		k := 0
+		for _, f := range r.node.clients.open {
+			if f.idle {
+				k++
+			}
+		}
+		return k
+	}
+	eventually(t, "the idle connection", func() bool { return idle() == 1 })
+	text := clientRequest("lookup", "00000000000000bb")
+	io.WriteString(c, text[:1])
+	eventually(t, "the first byte", func() bool { return idle() == 0 })
+	r.stop()
+	eventually(t, "the drain", r.node.clients.closing)
+	if resp, _ := c.ask(text[1:]); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("status %d, closing %v", resp.StatusCode, resp.Close)
+	}
+}
+
+// Guards the connections that wait at the listener when it ends: they are taken in.
+func TestListenerTakesWhatWaits(t *testing.T) {
+	ln := listen(t)
+	l := &drainListener{TCPListener: ln, clients: &clientConns{}}
+	c, err := net.Dial("tcp", ln.Addr().String()) // the kernel takes it in
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	ln.SetDeadline(time.Unix(1, 0))
+	got, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after that: %v", err)
+	}
+}
+
+// Guards against half of each when this side closes a connection that carries a
+// request: what comes after the close is not read, and what was read is not taken.
+func TestCloseCrossesARequest(t *testing.T) {
+	app := startApp(t, say(hello))
+	r := startNode(t, testConfig(t), app.addr)
+	ln := listen(t)
+	text := clientRequest("merge", "00000000000000aa")
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	k := &clientConns{most: 1, open: map[net.Conn]*clientConn{}}
+	c, err := (&drainListener{TCPListener: ln, clients: k}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := k.context(context.Background(), c)
+	io.WriteString(client, text)
+	if _, err := io.ReadFull(c, make([]byte, len(text))); err != nil { // the library has read it
+		t.Fatal(err)
+	}
+	k.context(context.Background(), &clientConn{Conn: client, owner: k}) // makes c go, which is not yet busy
+	func() {
+		defer func() {
+			if p := recover(); p != http.ErrAbortHandler {
+				t.Errorf("the handler ends with %v", p)
+			}
+		}()
+		req := httptest.NewRequest(http.MethodGet, "/lookup/x", nil).WithContext(ctx)
+		req.Host = "x"
+		req.Header = http.Header{"X-Trace-Id": {"00000000000000aa"}, "X-Qos": {"lookup"}, "Api-Plan": {"basic"},
+			"Api-Customer": {"00000000b4d65521"}, "X-Expires-In-Ms": {"3000"}, "Api-Terms": {"units=2,spread=2,first=1"}}
+		r.node.ServeHTTP(httptest.NewRecorder(), req)
+	}()
+	if got := app.requests(); len(got) > 0 {
+		t.Errorf("app server got %q", got)
+	}
+	shut := &clientConn{Conn: readsText{text: text}, owner: k, shut: true}
+	if n, err := shut.Read(make([]byte, 10)); n != 0 || err != io.EOF {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+}
+
+// readsText is a connection that has something to read, though it was closed meanwhile.
+type readsText struct {
+	net.Conn
+	text string
+}
+
+func (c readsText) Read(b []byte) (int, error) { return copy(b, c.text), nil }
+
+// arrived is the event of a usual request.
+func arrived(id string) logic.Arrived {
+	return logic.Arrived{ID: id, Patience: time.Second, Units: 1, Spread: 1}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,17 +44,16 @@
 // Node is one edge node. All fields below mu are guarded by it; nothing that
 // blocks is done while it is held.
 type Node struct {
-	cfg   Config
-	log   *slog.Logger
-	began time.Time  // reading of the monotonic clock that epoch belongs to
-	epoch logic.Time // Unix time at began
-	ctx   context.Context
-	stop  context.CancelFunc
-	// drainAccept is how long new connections are taken after a stop was asked for.
-	drainAccept time.Duration
-	pause       func(context.Context, time.Duration) // between calls to discovery
-	bodies      atomic.Int64                         // bytes of bodies that may still be taken in
-	worker      sync.WaitGroup                       // goroutines besides those of the listener
+	cfg    Config
+	log    *slog.Logger
+	began  time.Time  // reading of the monotonic clock that epoch belongs to
+	epoch  logic.Time // Unix time at began
+	ctx    context.Context
+	stop   context.CancelFunc
+	drain  drainTimes
+	pause  func(context.Context, time.Duration) // between calls to discovery
+	bodies atomic.Int64                         // bytes of bodies that may still be taken in
+	worker sync.WaitGroup                       // goroutines besides those of the listener
 
 	clients clientConns // locks for itself
 
@@ -66,6 +65,7 @@
 	requests map[string]*request
 	pool     pool
 	draining bool
+	over     bool // all is answered: the process is about to be killed
 	closed   bool
 
 	discovery string          // its address
@@ -106,13 +106,14 @@
 func New(cfg Config, log *slog.Logger) (*Node, error) {
 	began := time.Now()
 	n := &Node{cfg: cfg, log: log, began: began, epoch: logic.Time(began.UnixNano()),
-		requests: map[string]*request{}, drainAccept: drainAccept, pause: pause,
+		requests: map[string]*request{}, pause: pause,
 		failed: make(chan error, 1), discovery: cfg.Discovery}
 	gw, err := logic.New(n.epoch, cfg.Settings.Logic(cfg.Seed))
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	n.gateway = gw
+	n.drain = newDrainTimes(n.longestDeadline())
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.pool = newPool(cfg.Settings, cfg.Sockets)
 	n.clients = clientConns{most: 512, open: map[net.Conn]*clientConn{}}
@@ -252,6 +253,11 @@
 		return false
 	}
 	r.answer = make(chan answer, 1)
+	if n.over {
+		r.final = true
+		r.answer <- answer{status: statusRefused}
+		return true
+	}
 	r.guard = n.after(time.Until(r.deadline)-guardLead, func() { n.expire(r) })
 	n.requests[r.id] = r
 	n.post(ev)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.drainAccept = 10 * time.Millisecond
+	n.drain.accept = 10 * time.Millisecond
 	ln := listen(t)
 	ctx, stop := context.WithCancel(context.Background())
 	r := &rig{t: t, node: n, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
@@ -595,7 +595,7 @@
 		return say(hello)(c, req, body)
 	})
 	r := startNode(t, testConfig(t), app.addr)
-	r.node.drainAccept = patience / 10
+	r.node.drain.accept = patience / 10
 	idle, busy := r.dial(), r.dial()
 	idle.ask(clientRequest("lookup", "00000000000000bb"))
 	io.WriteString(busy, clientRequest("merge", "00000000000000aa"))
