Ask a pushing agent at once, and repeat failed calls within the drain grace

Seen: where lists are pushed, what the agent has counts as told from a process's first moment, with or without a watch. follow paused up to 100 ms before its first watch and up to 400 ms after failed calls (steps made for a service that all nodes ask). With a drain grace of 150 or 250 ms a server told to drain in such a pause may get new work past the grace.

Ruled out: a Move during a fetch or a pause (both end with watching's context), an old agent's late list (the loop applies lists in order, then asks the new agent for all), a silent watch as such (given up 6 s after it began; told 7 s after that at the earliest).

Remedy: no pause before the first watch where news are pushed; steps of the waits from a quarter to half of the grace. Where discovery is asked, nothing changes. The last part of TestFleetSpreadsItsCallsToDiscovery allowed a first wait of 100 ms; in its place TestPushedNewsAreAskedForAtOnce allows none. It fails with the pause put back. TestSilentWatchIsOpenedAnew holds how a silent watch is left, which was right before.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fawnrelay/internal/backoff"
+	"fawnrelay/internal/settings"
 	"fawnrelay/logic"
 )
 
@@ -20,6 +21,14 @@
 	watchSlack = time.Second     // past that it is taken to be silent
 	listMost   = 8 << 20         // bytes of a list
 
+	// Where news are pushed, they are with an agent on this machine, whose answers cost
+	// nothing, and count as told from then on, with or without a watch. So a new process
+	// asks at once, and after a failed call the wait is a part of the time for which a
+	// server that drains may still be sent to.
+	pushedLeast = 4                     // the first step of the waits is the drain grace over this, at most
+	pushedMost  = 2                     // and the longest one the grace over this
+	pushedFloor = 10 * time.Millisecond // but no step is shorter: an agent that is down is not called without end
+
 	// Where discovery must be asked, it is one service for the whole fleet and works on
 	// calls in turn, also on those that nobody waits for any more. Nodes that start
 	// together, or fail together, would keep its line longer than it lets calls wait, for
@@ -52,18 +61,35 @@
 var lifecycles = map[string]logic.ServerState{"SERVING": logic.Serving, "DRAINING": logic.Draining,
 	"DELETED": logic.Deleted}
 
+// watchTimes are those of the calls to discovery.
+type watchTimes struct {
+	asked       bool          // discovery is one service for all nodes
+	hold, slack time.Duration // it may hold a watch for so long, and has fallen silent this much later
+	step, most  time.Duration // of the waits after failed calls
+}
+
+func newWatchTimes(set *settings.Settings) watchTimes {
+	w := watchTimes{asked: set.Membership == "ask", hold: watchWait, slack: watchSlack}
+	if w.asked {
+		w.step = max(watchLeast, min(time.Duration(set.Gateways)*watchEach, set.Contract.AskEvery))
+		w.most = watchSteps * w.step
+		return w
+	}
+	grace := set.Contract.DrainGrace
+	w.step = max(min(watchLeast, grace/pushedLeast), pushedFloor)
+	w.most = max(min(watchSteps*w.step, grace/pushedMost), w.step)
+	return w
+}
+
 // follow keeps the list of app servers up to date until the node stops.
 func (n *Node) follow() {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	defer client.CloseIdleConnections()
-	step := watchLeast
-	if set := n.cfg.Settings; set.Membership == "ask" {
-		step = max(step, min(time.Duration(set.Gateways)*watchEach, set.Contract.AskEvery))
-	}
-	wait := backoff.Backoff{Least: step, Most: watchSteps * step, Rand: rand.New(rand.NewPCG(n.cfg.Seed, watchStream))}
+	wait := backoff.Backoff{Least: n.watches.step, Most: n.watches.most,
+		Rand: rand.New(rand.NewPCG(n.cfg.Seed, watchStream))}
 	// What is known from the start has a version: a watch from there brings what was missed.
 	addr, index, known := n.cfg.Discovery, n.cfg.Known.Generation, len(n.cfg.Known.Instances) > 0
-	if known {
+	if known && n.watches.asked {
 		n.pause(n.ctx, wait.Next())
 		wait.Reset()
 	}
@@ -74,12 +100,12 @@
 			addr, known = now, false
 		}
 		url := "http://" + addr + "/api/targets"
-		hold := time.Duration(0)
+		patience := n.watches.slack
 		if known {
-			hold = watchWait
-			url += "?index=" + strconv.FormatInt(index, 10) + "&wait=" + strconv.FormatInt(hold.Milliseconds(), 10)
+			patience += n.watches.hold
+			url += "?index=" + strconv.FormatInt(index, 10) + "&wait=" + strconv.FormatInt(n.watches.hold.Milliseconds(), 10)
 		}
-		list, err := fetch(ctx, client, url, hold+watchSlack)
+		list, err := fetch(ctx, client, url, patience)
 		if err == nil {
 			if !known || list.Reset {
 				n.applyList(list, logic.ListComplete)
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -171,19 +172,86 @@
 			t.Errorf("%d of %d first calls in quarter %d of %v", k, fleet, i, window)
 		}
 	}
+	if later < 3*first {
+		t.Errorf("waits after %d failures last %v in the mean, after one %v", failures, later/fleet, first/fleet)
+	}
+}
+
+// Guards a new process where news are pushed: what the agent on its machine has counts as
+// told from the first moment, so the first call comes before any wait, and the waits after
+// failed calls stay well within the time for which a server that drains may be sent to.
+func TestPushedNewsAreAskedForAtOnce(t *testing.T) {
+	for _, grace := range []time.Duration{0, 150 * time.Millisecond, 250 * time.Millisecond, 2 * time.Second} {
+		calls := make(chan string, 64)
+		disco := startApp(t, func(c net.Conn, req *http.Request, _ []byte) bool {
+			calls <- req.RequestURI
+			fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		cfg := testConfig(t)
+		cfg.Discovery, cfg.Settings.Contract.DrainGrace = disco.addr, grace
+		cfg.Known.Instances = []Instance{{ID: "s-0", Lifecycle: "SERVING"}}
+		n, err := New(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		const failures = 8
+		waits := 0
+		n.pause = func(_ context.Context, d time.Duration) {
+			if waits++; len(calls) < waits {
+				t.Errorf("grace %v: a wait of %v before call %d", grace, d, waits)
+			}
+			if grace > 0 && d > grace/2 {
+				t.Errorf("grace %v: a wait of %v", grace, d)
+			}
+			if waits == failures {
+				n.stop()
+			}
+		}
+		n.follow()
+	}
+}
+
+// Guards a watch that has fallen silent: it is given up and opened anew on another
+// connection, with what it missed, long before that counts as told.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	w := newWatchTimes(testConfig(t).Settings)
+	if told := max(6*time.Second, w.hold+2*time.Second); w.hold+w.slack+w.step >= told {
+		t.Errorf("a silent watch is opened anew after %v, what it misses counts as told after %v",
+			w.hold+w.slack+w.step, told)
+	}
+	ports := make(chan string, 64)
+	silent := make(chan struct{})
+	t.Cleanup(func() { close(silent) })
+	var met atomic.Int32
+	disco := startApp(t, func(c net.Conn, req *http.Request, _ []byte) bool {
+		ports <- c.RemoteAddr().String()
+		if met.Add(1) == 1 {
+			<-silent
+			return false
+		}
+		text := `{"generation":8,"reset":false,"instances":[{"instanceId":"s-0","hostPort":"127.0.0.1:9","lifecycle":"DRAINING"}]}`
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		return true
+	})
 	cfg := testConfig(t)
-	cfg.Settings.Gateways, cfg.Known.Instances = fleet, []Instance{{ID: "s-0", Lifecycle: "SERVING"}}
+	cfg.Known.Generation = 7
+	cfg.Known.Instances = []Instance{{ID: "s-0", HostPort: "127.0.0.1:9", Lifecycle: "SERVING"}}
 	n, err := New(cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.pause = func(_ context.Context, d time.Duration) {
-		if n.stop(); d > watchLeast {
-			t.Errorf("a first call waits %v though news are pushed", d)
-		}
-	}
-	n.follow()
-	if later < 3*first {
-		t.Errorf("waits after %d failures last %v in the mean, after one %v", failures, later/fleet, first/fleet)
+	n.discovery, n.cfg.Discovery = disco.addr, disco.addr
+	n.watches.hold, n.watches.slack = 10*time.Millisecond, 10*time.Millisecond
+	n.start()
+	defer n.close()
+	if first, second := <-ports, <-ports; first == second {
+		t.Error("the new watch is on the connection that fell silent")
 	}
+	eventually(t, "the news", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		s := n.pool.servers["s-0"]
+		return s != nil && !s.drainedAt.IsZero()
+	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,7 @@
 	over     bool // all is answered: the process is about to be killed
 	closed   bool
 
+	watches   watchTimes
 	discovery string          // its address
 	watch     context.Context // ends when that address changes
 	rewatch   context.CancelFunc
@@ -113,6 +114,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	n.gateway = gw
+	n.watches = newWatchTimes(cfg.Settings)
 	n.drain = newDrainTimes(n.longestDeadline())
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.pool = newPool(cfg.Settings, cfg.Sockets)
