Asked discovery: leave silent watches one after another, and in time

Traced: all watches are held for 5 s and begin within 0.5 s, so all are found silent between 6.06 and 6.21 s; discovery works on calls in turn, and the last node's call, made after a wait of 0.3 s, takes 1.07 s: it learns at 7.57 s of what counts as told at 7.12 s. In a fleet of 300 the wait alone could be 10 s (one step of follow's backoff, made for starts and failures).

Ruled out: the cost of watches that go on (their answers take 5.000 s sharp, nothing waits), the request itself (sent at once after the module's choice), the applied list.

Remedy: each watch is held for a time of its own, from a fifth to the whole of 5 s, which costs the service nothing while the watch carries on; a silent one is left after 0.5 s instead of 1 s; the wait before the new one takes half at most of what is left until the news count as told. Further failures wait as before, and so do starts.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -38,6 +38,15 @@
 	watchLeast  = 100 * time.Millisecond // the first step of the waits, at least
 	watchSteps  = 4                      // by which the longest one is longer
 	watchStream = 0x646973636f           // keeps these random numbers apart from others of the seed
+
+	// There, watches that fall silent together are found so at times of their own, as each
+	// is held for a time of its own: to carry on with a watch costs the service nothing.
+	// The wait before the new watch takes half of the time at most until what the silent
+	// one misses counts as told, the call may take the other half.
+	askedShortest = 0.2                    // of watchWait, the least that a watch is held
+	askedSlack    = 500 * time.Millisecond // past the hold, a watch is silent
+	toldSilent    = 6 * time.Second        // after a watch fell silent, what it misses counts as told
+	toldHeld      = 2 * time.Second        // and so long after it should have been answered, if that is later
 )
 
 // List is a list of app servers in discovery's form.
@@ -71,6 +80,7 @@
 func newWatchTimes(set *settings.Settings) watchTimes {
 	w := watchTimes{asked: set.Membership == "ask", hold: watchWait, slack: watchSlack}
 	if w.asked {
+		w.slack = askedSlack
 		w.step = max(watchLeast, min(time.Duration(set.Gateways)*watchEach, set.Contract.AskEvery))
 		w.most = watchSteps * w.step
 		return w
@@ -81,18 +91,27 @@
 	return w
 }
 
+// draw returns how long discovery may hold the next watch.
+func (w watchTimes) draw(rng *rand.Rand) time.Duration {
+	if !w.asked {
+		return w.hold
+	}
+	return time.Duration((askedShortest + (1-askedShortest)*rng.Float64()) * float64(w.hold))
+}
+
 // follow keeps the list of app servers up to date until the node stops.
 func (n *Node) follow() {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	defer client.CloseIdleConnections()
-	wait := backoff.Backoff{Least: n.watches.step, Most: n.watches.most,
-		Rand: rand.New(rand.NewPCG(n.cfg.Seed, watchStream))}
+	rng := rand.New(rand.NewPCG(n.cfg.Seed, watchStream))
+	wait := backoff.Backoff{Least: n.watches.step, Most: n.watches.most, Rand: rng}
 	// What is known from the start has a version: a watch from there brings what was missed.
 	addr, index, known := n.cfg.Discovery, n.cfg.Known.Generation, len(n.cfg.Known.Instances) > 0
 	if known && n.watches.asked {
 		n.pause(n.ctx, wait.Next())
 		wait.Reset()
 	}
+	worked := false // the call before was answered
 	for n.ctx.Err() == nil {
 		ctx, now := n.watching()
 		if now != addr { // another agent: its versions start anew
@@ -100,25 +119,31 @@
 			addr, known = now, false
 		}
 		url := "http://" + addr + "/api/targets"
-		patience := n.watches.slack
+		hold := time.Duration(0)
 		if known {
-			patience += n.watches.hold
-			url += "?index=" + strconv.FormatInt(index, 10) + "&wait=" + strconv.FormatInt(n.watches.hold.Milliseconds(), 10)
+			hold = n.watches.draw(rng)
+			url += "?index=" + strconv.FormatInt(index, 10) + "&wait=" + strconv.FormatInt(hold.Milliseconds(), 10)
 		}
-		list, err := fetch(ctx, client, url, patience)
+		began := time.Now()
+		list, err := fetch(ctx, client, url, hold+n.watches.slack)
 		if err == nil {
 			if !known || list.Reset {
 				n.applyList(list, logic.ListComplete)
 			} else if len(list.Instances) > 0 {
 				n.applyList(list, logic.ListPartial)
 			}
-			index, known = list.Generation, true
+			index, known, worked = list.Generation, true, true
 			wait.Reset()
 			continue
 		}
 		n.log.Debug("discovery", "err", err)
 		client.CloseIdleConnections()
-		n.pause(ctx, wait.Next())
+		d := wait.Next()
+		if worked {
+			d = min(d, max(max(toldSilent, hold+toldHeld)-time.Since(began), 0)/2)
+		}
+		worked = false
+		n.pause(ctx, d)
 	}
 }
 
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -255,3 +255,57 @@
 		return s != nil && !s.drainedAt.IsZero()
 	})
 }
+
+// Guards drains where discovery is one service that a large fleet asks: watches that fall
+// silent together are found so one after another, and each node waits for half of the time
+// at most that is left until what it misses counts as told. Only further failures wait longer.
+func TestAskedWatchesThatFallSilentTogether(t *testing.T) {
+	const hold, fleet = 100 * time.Millisecond, 12
+	holds := map[int]bool{}
+	for seed := range uint64(fleet) {
+		var met atomic.Int32
+		silent, waits := make(chan struct{}), make(chan int, 64)
+		disco := startApp(t, func(c net.Conn, req *http.Request, _ []byte) bool {
+			var ms int
+			fmt.Sscan(req.URL.Query().Get("wait"), &ms)
+			waits <- ms
+			if met.Add(1) == 2 {
+				<-silent
+				return false
+			}
+			text := `{"generation":8,"reset":false,"instances":[]}`
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			return met.Load() == 1
+		})
+		cfg := testConfig(t)
+		cfg.Discovery, cfg.Seed, cfg.Settings.Gateways = disco.addr, seed, 300
+		cfg.Settings.Membership, cfg.Settings.Contract.AskEvery = "ask", 10*time.Second
+		cfg.Known.Instances = []Instance{{ID: "s-0", HostPort: "127.0.0.1:9", Lifecycle: "SERVING"}}
+		n, err := New(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.watches.hold, n.watches.slack = hold, hold
+		pauses := 0
+		n.pause = func(_ context.Context, d time.Duration) {
+			if pauses++; pauses == 2 { // the first is that of the start
+				if d > toldSilent/2 || d <= 0 {
+					t.Errorf("seed %d: the new watch waits %v, what is missed counts as told after %v", seed, d, toldSilent)
+				}
+				n.stop()
+			}
+		}
+		n.follow()
+		close(silent)
+		for range 2 {
+			ms := <-waits
+			if float64(ms) < askedShortest*float64(hold.Milliseconds())-1 || ms > int(hold.Milliseconds()) {
+				t.Errorf("seed %d: a watch of %d ms", seed, ms)
+			}
+			holds[ms] = true
+		}
+	}
+	if len(holds) < fleet {
+		t.Errorf("%d watches are held for %d different times", 2*fleet, len(holds))
+	}
+}
