Test that a calm fleet's sends beyond the quotas cost 0.1 at most

The term of the stricter acceptance, counted over 30 gateways before a counter that serves calls in turn, with calls to spare and with few.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -98,9 +98,10 @@
 }
 
 // through offers tries of one unit of plan 0 to gateways for a while, for each customer at the rate a second
-// that it has then, before a counter that is a line. It returns what was offered and sent on by customer.
+// that it has then, before a counter that is a line. It returns what was offered and sent on by customer, and
+// tells each of these to see as it happens.
 func through(rigs []*rig, l *line, rng *rand.Rand, d time.Duration, customers int,
-	rate func(i int, since time.Duration) float64) (offered, sentOn []float64) {
+	rate func(i int, since time.Duration) float64, see ...func(i int, now time.Duration, sent bool)) (offered, sentOn []float64) {
 	offered, sentOn = make([]float64, customers), make([]float64, customers)
 	var answers []due
 	owner := map[string]int{}
@@ -109,6 +110,9 @@
 			switch a := a.(type) {
 			case logic.Send:
 				sentOn[owner[a.ID]]++
+				for _, f := range see {
+					f(owner[a.ID], r.now, true)
+				}
 				r.pass(a.ID, a)
 			case logic.Count:
 				answers = append(answers, due{l.call(r.now), r, l.add(a)})
@@ -131,6 +135,9 @@
 				continue
 			}
 			offered[i]++
+			for _, f := range see {
+				f(i, now, false)
+			}
 			r := rigs[rng.IntN(len(rigs))]
 			id := fmt.Sprint(i, ".", len(owner))
 			owner[id] = i
@@ -194,3 +201,65 @@
 		t.Errorf("its line is %v long", wait)
 	}
 }
+
+// bucket is a customer's quota as it truly is: a store of units that fills at a rate.
+type bucket struct {
+	rate, burst, level float64
+	at                 time.Duration
+}
+
+// take takes a unit if there is one.
+func (b *bucket) take(now time.Duration) bool {
+	b.level, b.at = min(b.burst, b.level+(now-b.at).Seconds()*b.rate), now
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+func TestFleetKeepsQuotasOnACalmDay(t *testing.T) {
+	// What the fleet sends on beyond the quotas costs at most 0.1 of what is asked inside them: so it is at most
+	// 0.1 more than under any policy that sees the true stores late. Plan 0 has 4 units a second and a burst of 8.
+	// Most customers ask for a third of the rate, some for nearly all, some for more, some in bursts.
+	const seconds, gateways, customers = 40, 30, 30
+	rate := func(i int, since time.Duration) float64 {
+		switch {
+		case i%10 == 0:
+			return 3.8
+		case i%10 == 1:
+			return 10
+		case i%10 < 4 && since%(12*time.Second) < 3*time.Second:
+			return 14
+		}
+		return 1.3
+	}
+	for _, each := range []time.Duration{4 * ms, 20 * ms} { // a counter with calls to spare, and one with few
+		set := settings()
+		set.Plans[0].OverCost = 1
+		rigs := fleetOf(t, gateways, set, fleetList(0, 0))
+		asked, fleet := make([]bucket, customers), make([]bucket, customers)
+		for i := range asked {
+			asked[i] = bucket{rate: 4, burst: 8, level: 8, at: rigs[0].now}
+			fleet[i] = asked[i]
+		}
+		inside, served, beyond := 0.0, 0.0, 0.0
+		through(rigs, &line{numbers: numbers{}, each: each}, rand.New(rand.NewPCG(9, 10)), seconds*time.Second,
+			customers, rate, func(i int, now time.Duration, sent bool) {
+				switch {
+				case sent && fleet[i].take(now):
+					served++
+				case sent:
+					beyond++
+				case asked[i].take(now):
+					inside++
+				}
+			})
+		if beyond > 0.1*inside {
+			t.Errorf("a call each %v: %.3f of what is asked inside the quotas was sent on beyond them", each, beyond/inside)
+		}
+		if served < 0.75*inside { // refusing all costs nothing
+			t.Errorf("a call each %v: %.3f of what is asked inside the quotas was sent on", each, served/inside)
+		}
+	}
+}
