Take no configuration that the node could not be started with

Seen: load looked at the form of the settings alone. A configuration whose settings the module refuses (no gateways, an aim of 0) ended the program at start, in node.New, but at SIGHUP moved it to the addresses in that file, though one that can't be used is to change nothing. An address without a port was taken at start as well, and the node followed no discovery for good.

Remedy: load asks the module and reads the addresses. The tests' good configuration is now one that the program can start with; TestLoad's three new cases and TestReload's unusable file fail without the change (it moved to the new addresses) and pass with it.

--- a/cmd/fawnrelay/main.go
+++ b/cmd/fawnrelay/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -18,6 +19,7 @@
 
 	"fawnrelay/internal/node"
 	"fawnrelay/internal/settings"
+	"fawnrelay/logic"
 )
 
 func main() {
@@ -134,6 +136,14 @@
 	if set.Family.Counter && f.Counter == "" {
 		return bad(errors.New("counter is missing"))
 	}
+	for name, addr := range map[string]string{"listen": f.Listen, "discovery": f.Discovery, "counter": f.Counter} {
+		if _, _, err := net.SplitHostPort(addr); err != nil && addr != "" {
+			return bad(fmt.Errorf("%s: %w", name, err))
+		}
+	}
+	if _, err := logic.New(0, set.Logic(seed)); err != nil {
+		return bad(fmt.Errorf("settings: %w", err))
+	}
 	return node.Config{Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Seed: seed,
 		Sockets: f.Limits.Sockets, Memory: int64(f.Limits.MemoryMB) << 20, Known: f.Known, Settings: set}, f.Limits, nil
 }
--- a/cmd/fawnrelay/main_test.go
+++ b/cmd/fawnrelay/main_test.go
@@ -14,7 +14,8 @@
 const good = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"counter":"127.0.0.1:9",
  "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:9","zone":"a","lifecycle":"SERVING"}]},
- "settings":{"nInstances":2,"familyInfo":{"counter":true},"classes":[{"name":"c","effect":"once"}]}}`
+ "settings":{"limits":{"maxAttempts":2},"tiersOfService":[{"name":"p"}],"nInstances":2,
+  "familyInfo":{"counter":true},"classes":[{"name":"c","effect":"once","aim":1000000}]}}`
 
 // Guards the reading of the configuration, and that what is wrong with it is told
 // in one line.
@@ -44,6 +45,9 @@
 		"counter":   strings.Replace(good, `"counter":"`, `"other":"`, 1),
 		"settings":  strings.Replace(good, `"settings"`, `"other"`, 1),
 		"effect":    strings.Replace(good, `"once"`, `"twice"`, 1),
+		"gateways":  strings.Replace(good, `"nInstances":2`, `"nInstances":0`, 1),
+		"no port":   strings.Replace(good, `"discovery":"127.0.0.1:9"`, `"discovery":"127.0.0.1"`, 1),
+		"ports":     strings.Replace(good, `"counter":"127.0.0.1:9"`, `"counter":"127.0.0.1:9:9"`, 1),
 	} {
 		if _, _, err := load(write(text)); err == nil || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", name, err)
@@ -67,7 +71,8 @@
 	hangup, m := make(chan os.Signal), make(moves, 8)
 	done := make(chan struct{})
 	go func() { reload(hangup, path, m, slog.New(slog.DiscardHandler)); close(done) }()
-	for _, text := range []string{good, good[:30], strings.Replace(good, `"discovery":"127.0.0.1:9"`, `"discovery":"127.0.0.1:8"`, 1)} {
+	unusable := strings.Replace(strings.Replace(good, `"aim":1000000`, `"aim":0`, 1), "127.0.0.1:9", "127.0.0.1:7", 2)
+	for _, text := range []string{good, good[:30], unusable, strings.Replace(good, `"discovery":"127.0.0.1:9"`, `"discovery":"127.0.0.1:8"`, 1)} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -102,9 +107,7 @@
 // it, and SIGTERM does with exit code 0.
 func TestSignals(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
-	text := strings.Replace(good, `"effect":"once"`, `"effect":"once","aim":1000000`, 1)
-	text = strings.Replace(text, `"nInstances"`, `"limits":{"maxAttempts":2},"tiersOfService":[{"name":"p"}],"nInstances"`, 1)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd := exec.CommandContext(t.Context(), os.Args[0])
