Test that a request whose client has left while it waited is not sent on

The program held this before. Without run's look at the request the first test fails (the attempt is written to the app server and the connection not given back); without place's look at r.over the second waits for its units in vain. The third is guarded twice, by Ended's Over and by r.over, and passes with either of them. The only change outside the tests is the hook, Node.dial.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,9 +51,10 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	drain  drainTimes
-	pause  func(context.Context, time.Duration) // between calls to discovery
-	bodies atomic.Int64                         // bytes of bodies that may still be taken in
-	worker sync.WaitGroup                       // goroutines besides those of the listener
+	pause  func(context.Context, time.Duration)                              // between calls to discovery
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error) // to app servers
+	bodies atomic.Int64                                                      // bytes of bodies that may still be taken in
+	worker sync.WaitGroup                                                    // goroutines besides those of the listener
 
 	clients clientConns // locks for itself
 
@@ -107,7 +108,7 @@
 func New(cfg Config, log *slog.Logger) (*Node, error) {
 	began := time.Now()
 	n := &Node{cfg: cfg, log: log, began: began, epoch: logic.Time(began.UnixNano()),
-		requests: map[string]*request{}, pause: pause,
+		requests: map[string]*request{}, pause: pause, dial: (&net.Dialer{}).DialContext,
 		failed: make(chan error, 1), discovery: cfg.Discovery}
 	gw, err := logic.New(n.epoch, cfg.Settings.Logic(cfg.Seed))
 	if err != nil {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -304,8 +304,7 @@
 // connect dials s; the place in the pool is reserved. It returns nil if there
 // is no connection, or if the attempt is over or may no longer begin.
 func (n *Node) connect(ctx context.Context, s *server, addr string, begin func(*conn) bool) *conn {
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := n.dial(ctx, "tcp", addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err != nil {
