--- a/cmd/fawnrelay/main.go
+++ b/cmd/fawnrelay/main.go
@@ -84,15 +84,18 @@
 	Sockets  int     `json:"sockets"`
 }
 
-// apply tells the runtime its limits. The heap is small beside the memory, so
-// the collector may run seldom.
+// heapShare is the part of the memory that the runtime is told to stay below. Over
+// half of it is priced, and the kernel's part and the stacks come on top of the heap.
+const heapShare = 0.4
+
+// apply tells the runtime its limits. The collector keeps its usual pace: run more
+// seldom it lets the process grow through a long day, and growth is priced as well.
 func (l limits) apply() {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(l.Cores)))
 	}
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
-		debug.SetGCPercent(400)
+		debug.SetMemoryLimit(int64(heapShare * float64(int64(l.MemoryMB)<<20)))
 	}
 }
 
