--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +26,7 @@
 		{"served, chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", logic.Pass, true},
 		{"served, closing", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", logic.Pass, false},
 		{"served after 1xx", "HTTP/1.1 103 Early Hints\r\n\r\n" + hello, logic.Pass, true},
+		{"1xx without end", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2*interimMost) + hello, logic.Broken, false},
 		{"more than an answer", hello + hello, logic.Pass, false},
 		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", logic.Fault, true},
 		{"turned away", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", logic.Full, true},
@@ -148,6 +150,34 @@
 	}
 }
 
+// Guards the rule on drains where a connection comes up late: the server was told to
+// drain, and the grace is over, just before the first byte would be written.
+func TestDrainGraceEndsWhileTheConnectionComesUp(t *testing.T) {
+	app := startApp(t, say(hello))
+	r := startNode(t, testConfig(t), app.addr)
+	begun, up := make(chan struct{}, 8), make(chan struct{})
+	r.node.mu.Lock()
+	r.node.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
+		begun <- struct{}{}
+		<-up
+		return net.Dial(network, addr)
+	}
+	r.node.mu.Unlock()
+	c := r.dial()
+	io.WriteString(c, clientRequest("merge", "00000000000000aa"))
+	<-begun
+	r.node.mu.Lock()
+	r.node.pool.list("s-0", app.addr, 0, logic.Draining, time.Now().Add(-r.node.pool.grace))
+	r.node.mu.Unlock()
+	close(up)
+	if resp, _ := c.answer(); resp.StatusCode != http.StatusTooManyRequests { // it never ran
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if got := app.requests(); len(got) > 0 {
+		t.Errorf("app server got %q", got)
+	}
+}
+
 // Guards the reading of load reports.
 func TestParseReport(t *testing.T) {
 	r := parseReport("TEXT inflight=7, queue=2, util=0.61, other=x")
