Write no repeat of a keyed request past its window when a connection comes up late

Seen in the code: maySendTo compares the window with the time at which the module chooses a server; the attempt's last byte is written up to a connection time-out (250 ms) later where the connection is new, and the protocol's slack is 50 ms. Where a window is not longer than the aim (the tests' class save: both 2 s), a repeat after a late failure can be written past it. Reused connections are written to at once.

Remedy: run looks at the window again once the connection is up, as it does at the drain grace. TestWindowEndsWhileTheConnectionComesUp fails without that look (the request reaches both servers) and passes 30 times with -race.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -504,6 +504,9 @@
 		return fail("body too long")
 	}
 	r := &request{id: id}
+	if keys > 0 {
+		r.window = set.Classes[ev.Class].Window
+	}
 	if req.ContentLength > 0 {
 		r.body = make([]byte, req.ContentLength)
 		if _, err := io.ReadFull(req.Body, r.body); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,7 @@
 	head     []byte // the forwarded head up to the deadline's value
 	body     []byte
 	deadline time.Time
+	window   time.Duration // for which repeats are dropped; 0: the class has no key
 	guard    *time.Timer
 	attempts []*attempt
 	out      int         // attempts without an outcome
@@ -314,7 +315,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.unrun = true, o == logic.Full || o == logic.NoRoute || o == logic.Unsent
 	a.abandon()
 	r := a.request
 	r.out--
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -233,6 +233,7 @@
 	conn    *conn              // set while the attempt owns one
 	cancel  context.CancelFunc // of the dial
 	ended   bool
+	unrun   bool    // it ended, and never ran
 	units   float64 // that the request truly took, as the answer told; 0: not told
 }
 
@@ -301,6 +302,18 @@
 	return s.drainedAt.IsZero() || now.Sub(s.drainedAt) < n.pool.grace
 }
 
+// mayRepeat holds the rule on keyed requests where a connection came up late: no repeat
+// is written once the window of an attempt that may have run is over. The module looks at
+// the window when it chooses the server.
+func (r *request) mayRepeat(a *attempt, now time.Time) bool {
+	for _, b := range r.attempts[:a.number] {
+		if r.window > 0 && !b.unrun && now.Sub(b.sent) >= r.window {
+			return false
+		}
+	}
+	return true
+}
+
 // connect dials s; the place in the pool is reserved. It returns nil if there
 // is no connection, or if the attempt is over or may no longer begin.
 func (n *Node) connect(ctx context.Context, s *server, addr string, begin func(*conn) bool) *conn {
@@ -327,7 +340,8 @@
 func (n *Node) run(ctx context.Context, a *attempt, s *server, addr string, c *conn, text net.Buffers) {
 	if c == nil {
 		c = n.connect(ctx, s, addr, func(c *conn) bool {
-			if a.ended || a.request.final || !n.mayBegin(s, time.Now()) {
+			now := time.Now()
+			if a.ended || a.request.final || !n.mayBegin(s, now) || !a.request.mayRepeat(a, now) {
 				return false
 			}
 			a.conn = c
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -178,6 +178,39 @@
 	}
 }
 
+// Guards the rule on keyed requests where a connection comes up late: the window of the
+// first attempt, which may have run, is over just before the repeat would be written.
+func TestWindowEndsWhileTheConnectionComesUp(t *testing.T) {
+	fault := say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+	a, b := startApp(t, fault), startApp(t, fault)
+	r := startNode(t, testConfig(t), a.addr, b.addr)
+	begun, up := make(chan struct{}, 8), make(chan struct{})
+	r.node.mu.Lock()
+	r.node.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
+		if begun <- struct{}{}; len(append(a.requests(), b.requests()...)) > 0 {
+			<-up
+		}
+		return net.Dial(network, addr)
+	}
+	r.node.mu.Unlock()
+	c := r.dial()
+	io.WriteString(c, clientRequest("save", "00000000000000aa"))
+	<-begun
+	<-begun // of the repeat
+	r.node.mu.Lock()
+	for _, q := range r.node.requests {
+		q.attempts[0].sent = time.Now().Add(-q.window)
+	}
+	r.node.mu.Unlock()
+	close(up)
+	if resp, _ := c.answer(); resp.StatusCode != http.StatusBadGateway { // the first may have run
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	if got := append(a.requests(), b.requests()...); len(got) != 1 {
+		t.Errorf("app servers got %q", got)
+	}
+}
+
 // Guards the reading of load reports.
 func TestParseReport(t *testing.T) {
 	r := parseReport("TEXT inflight=7, queue=2, util=0.61, other=x")
