--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -42,14 +41,7 @@
 	for _, class := range []string{"lookup", "merge"} {
 		app := startApp(t, say(hello))
 		r := startNode(t, testConfig(t), app.addr)
-		begun, up := make(chan struct{}, 8), make(chan struct{})
-		r.node.mu.Lock()
-		r.node.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
-			begun <- struct{}{}
-			<-up
-			return net.Dial(network, addr)
-		}
-		r.node.mu.Unlock()
+		begun, up := r.holdDials(func() bool { return true })
 		c := r.dial()
 		io.WriteString(c, clientRequest(class, "00000000000000aa"))
 		<-begun
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -150,19 +150,27 @@
 	}
 }
 
+// holdDials tells of each connection to an app server that is begun. Those that are to be
+// held come up only once up is closed, whatever the node's patience.
+func (r *rig) holdDials(held func() bool) (begun <-chan struct{}, up chan<- struct{}) {
+	told, let := make(chan struct{}, 8), make(chan struct{})
+	r.node.mu.Lock()
+	defer r.node.mu.Unlock()
+	r.node.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
+		if told <- struct{}{}; held() {
+			<-let
+		}
+		return net.Dial(network, addr)
+	}
+	return told, let
+}
+
 // Guards the rule on drains where a connection comes up late: the server was told to
 // drain, and the grace is over, just before the first byte would be written.
 func TestDrainGraceEndsWhileTheConnectionComesUp(t *testing.T) {
 	app := startApp(t, say(hello))
 	r := startNode(t, testConfig(t), app.addr)
-	begun, up := make(chan struct{}, 8), make(chan struct{})
-	r.node.mu.Lock()
-	r.node.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
-		begun <- struct{}{}
-		<-up
-		return net.Dial(network, addr)
-	}
-	r.node.mu.Unlock()
+	begun, up := r.holdDials(func() bool { return true })
 	c := r.dial()
 	io.WriteString(c, clientRequest("merge", "00000000000000aa"))
 	<-begun
@@ -184,15 +192,7 @@
 	fault := say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
 	a, b := startApp(t, fault), startApp(t, fault)
 	r := startNode(t, testConfig(t), a.addr, b.addr)
-	begun, up := make(chan struct{}, 8), make(chan struct{})
-	r.node.mu.Lock()
-	r.node.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
-		if begun <- struct{}{}; len(append(a.requests(), b.requests()...)) > 0 {
-			<-up
-		}
-		return net.Dial(network, addr)
-	}
-	r.node.mu.Unlock()
+	begun, up := r.holdDials(func() bool { return len(append(a.requests(), b.requests()...)) > 0 })
 	c := r.dial()
 	io.WriteString(c, clientRequest("save", "00000000000000aa"))
 	<-begun
