Tell a fleet of changes within 6 s, whatever became of its calls to discovery

Seen: ten nodes set up for 300 gateways, discovery that must be asked down for 22 s: four had not asked again 24 s after its return. Played with 300 nodes before a model of that service (300 calls in 4 s, in turn, what waited 2 s turned away): 118 told late after a common start (the last after 10.0 s), 109 when all watches fell silent in step (7.4 s), 241 after 22 s of refusal or of calls turned away, 200 of hung calls, 234 after a move while hung (none of these within 12 s); of processes that restart with an empty list 268 were ready in time, 238 with discovery 3 s down and 117 with 20 s.

Ruled out: pushed lists held (at worst 6.0 s, a watch that falls silent in step). At fault: newWatchTimes and follow in discovery.go. Only the wait after the first failure was capped; further ones had steps of 10 to 40 s; a whole hold was spent on each call that hung; a first call waited up to 10 s, and all nodes that moved, or knew nothing, called in one instant.

Change: what a node calls, when, and when it gives up is decided by watchPlan in watch.go, without sockets. First calls are spread over 3.5 s at most, a call after a failure is not held, and where discovery is asked each node calls once in a period of 3.4 to 4 s from call to call however often it failed. Watches are held for 2 s at most (4 s where lists are pushed), so that a silent one is found in time.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -5,49 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
-	"fawnrelay/internal/backoff"
-	"fawnrelay/internal/settings"
 	"fawnrelay/logic"
 )
 
-const (
-	watchWait  = 5 * time.Second // how long discovery may hold a watch
-	watchSlack = time.Second     // past that it is taken to be silent
-	listMost   = 8 << 20         // bytes of a list
-
-	// Where news are pushed, they are with an agent on this machine, whose answers cost
-	// nothing, and count as told from then on, with or without a watch. So a new process
-	// asks at once, and after a failed call the wait is a part of the time for which a
-	// server that drains may still be sent to.
-	pushedLeast = 4                     // the first step of the waits is the drain grace over this, at most
-	pushedMost  = 2                     // and the longest one the grace over this
-	pushedFloor = 10 * time.Millisecond // but no step is shorter: an agent that is down is not called without end
-
-	// Where discovery must be asked, it is one service for the whole fleet and works on
-	// calls in turn, also on those that nobody waits for any more. Nodes that start
-	// together, or fail together, would keep its line longer than it lets calls wait, for
-	// ever: so they spread their calls over a time for each node of the fleet, within the
-	// time after which they count as told.
-	watchEach   = 80 * time.Millisecond  // between two nodes' calls, in the mean
-	watchLeast  = 100 * time.Millisecond // the first step of the waits, at least
-	watchSteps  = 4                      // by which the longest one is longer
-	watchStream = 0x646973636f           // keeps these random numbers apart from others of the seed
-
-	// There, watches that fall silent together are found so at times of their own, as each
-	// is held for a time of its own: to carry on with a watch costs the service nothing.
-	// The wait before the new watch takes half of the time at most until what the silent
-	// one misses counts as told, the call may take the other half.
-	askedShortest = 0.2                    // of watchWait, the least that a watch is held
-	askedSlack    = 500 * time.Millisecond // past the hold, a watch is silent
-	toldSilent    = 6 * time.Second        // after a watch fell silent, what it misses counts as told
-	toldHeld      = 2 * time.Second        // and so long after it should have been answered, if that is later
-)
+const listMost = 8 << 20 // bytes of a list
 
 // List is a list of app servers in discovery's form.
 type List struct {
@@ -70,80 +36,35 @@
 var lifecycles = map[string]logic.ServerState{"SERVING": logic.Serving, "DRAINING": logic.Draining,
 	"DELETED": logic.Deleted}
 
-// watchTimes are those of the calls to discovery.
-type watchTimes struct {
-	asked       bool          // discovery is one service for all nodes
-	hold, slack time.Duration // it may hold a watch for so long, and has fallen silent this much later
-	step, most  time.Duration // of the waits after failed calls
-}
-
-func newWatchTimes(set *settings.Settings) watchTimes {
-	w := watchTimes{asked: set.Membership == "ask", hold: watchWait, slack: watchSlack}
-	if w.asked {
-		w.slack = askedSlack
-		w.step = max(watchLeast, min(time.Duration(set.Gateways)*watchEach, set.Contract.AskEvery))
-		w.most = watchSteps * w.step
-		return w
-	}
-	grace := set.Contract.DrainGrace
-	w.step = max(min(watchLeast, grace/pushedLeast), pushedFloor)
-	w.most = max(min(watchSteps*w.step, grace/pushedMost), w.step)
-	return w
-}
-
-// draw returns how long discovery may hold the next watch.
-func (w watchTimes) draw(rng *rand.Rand) time.Duration {
-	if !w.asked {
-		return w.hold
-	}
-	return time.Duration((askedShortest + (1-askedShortest)*rng.Float64()) * float64(w.hold))
-}
-
 // follow keeps the list of app servers up to date until the node stops.
 func (n *Node) follow() {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	client := &http.Client{Transport: n.transport}
 	defer client.CloseIdleConnections()
-	rng := rand.New(rand.NewPCG(n.cfg.Seed, watchStream))
-	wait := backoff.Backoff{Least: n.watches.step, Most: n.watches.most, Rand: rng}
-	// What is known from the start has a version: a watch from there brings what was missed.
-	addr, index, known := n.cfg.Discovery, n.cfg.Known.Generation, len(n.cfg.Known.Instances) > 0
-	if known && n.watches.asked {
-		n.pause(n.ctx, wait.Next())
-		wait.Reset()
-	}
-	worked := false // the call before was answered
+	plan := newWatchPlan(n.watches, n.cfg.Seed, n.cfg.Known)
 	for n.ctx.Err() == nil {
-		ctx, now := n.watching()
-		if now != addr { // another agent: its versions start anew
-			client.CloseIdleConnections()
-			addr, known = now, false
+		ctx, addr := n.watching()
+		if wait := plan.call(addr); wait > 0 {
+			n.pause(ctx, wait)
+			continue
 		}
 		url := "http://" + addr + "/api/targets"
-		hold := time.Duration(0)
-		if known {
-			hold = n.watches.draw(rng)
-			url += "?index=" + strconv.FormatInt(index, 10) + "&wait=" + strconv.FormatInt(hold.Milliseconds(), 10)
+		if !plan.whole {
+			url += "?index=" + strconv.FormatInt(plan.index, 10) + "&wait=" + strconv.FormatInt(plan.held.Milliseconds(), 10)
 		}
 		began := time.Now()
-		list, err := fetch(ctx, client, url, hold+n.watches.slack)
+		list, err := fetch(ctx, client, url, plan.patience)
 		if err == nil {
-			if !known || list.Reset {
+			if plan.whole || list.Reset {
 				n.applyList(list, logic.ListComplete)
 			} else if len(list.Instances) > 0 {
 				n.applyList(list, logic.ListPartial)
 			}
-			index, known, worked = list.Generation, true, true
-			wait.Reset()
+			plan.answered(list.Generation)
 			continue
 		}
 		n.log.Debug("discovery", "err", err)
 		client.CloseIdleConnections()
-		d := wait.Next()
-		if worked {
-			d = min(d, max(max(toldSilent, hold+toldHeld)-time.Since(began), 0)/2)
-		}
-		worked = false
-		n.pause(ctx, d)
+		n.pause(ctx, plan.failed(time.Since(began)))
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -44,17 +45,18 @@
 // Node is one edge node. All fields below mu are guarded by it; nothing that
 // blocks is done while it is held.
 type Node struct {
-	cfg    Config
-	log    *slog.Logger
-	began  time.Time  // reading of the monotonic clock that epoch belongs to
-	epoch  logic.Time // Unix time at began
-	ctx    context.Context
-	stop   context.CancelFunc
-	drain  drainTimes
-	pause  func(context.Context, time.Duration)                              // between calls to discovery
-	dial   func(ctx context.Context, network, addr string) (net.Conn, error) // to app servers
-	bodies atomic.Int64                                                      // bytes of bodies that may still be taken in
-	worker sync.WaitGroup                                                    // goroutines besides those of the listener
+	cfg       Config
+	log       *slog.Logger
+	began     time.Time  // reading of the monotonic clock that epoch belongs to
+	epoch     logic.Time // Unix time at began
+	ctx       context.Context
+	stop      context.CancelFunc
+	drain     drainTimes
+	pause     func(context.Context, time.Duration)                              // between calls to discovery
+	dial      func(ctx context.Context, network, addr string) (net.Conn, error) // to app servers
+	transport http.RoundTripper                                                 // of the calls to discovery
+	bodies    atomic.Int64                                                      // bytes of bodies that may still be taken in
+	worker    sync.WaitGroup                                                    // goroutines besides those of the listener
 
 	clients clientConns // locks for itself
 
@@ -110,7 +112,8 @@
 	began := time.Now()
 	n := &Node{cfg: cfg, log: log, began: began, epoch: logic.Time(began.UnixNano()),
 		requests: map[string]*request{}, pause: pause, dial: (&net.Dialer{}).DialContext,
-		failed: make(chan error, 1), discovery: cfg.Discovery}
+		transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true},
+		failed:    make(chan error, 1), discovery: cfg.Discovery}
 	gw, err := logic.New(n.epoch, cfg.Settings.Logic(cfg.Seed))
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
