Send nothing for a client that has gone, also where it sent more than its request

Seen (tests of 15 crossings on real sockets): a client that sends a line's end, a begun or whole next request while its attempt is out, and then closes, resets or ends its sending, is never seen to leave; once the attempt came back unrun the request was sent on again. With a plain close or reset it is seen.

At fault: the library watches for the end by reading one byte in the background and stops at the first (server.go, backgroundRead). While that byte waits, it does not even begin the watch for the next request. And in run (servers.go) an attempt on a resting connection was written without a look whether its request was over meanwhile: where attempts may not be cancelled, also after the leaving.

Ruled out: the wait for the body (its reader sees the end itself), the counter call, the retry, the dial and the late connection: send and connect look whether the request is final.

Change: when the library has got that byte, readAhead reads the connection from then on. What comes is kept in its order, one whole request (80 KiB) at most, and past 512 bytes within the share of the memory for bodies; beyond, the client waits and its leaving shows once some of that is used up. Such a connection is not idle to a drain. Where this process stood still, the leaving may lie unread: a look at the socket (MSG_PEEK) comes before a request is taken and before an attempt of a request that has waited for 50 ms. An attempt that was not written for a client gone ends as unsent, which holds nothing against the server.

Tests seen to fail without: the read-ahead, its channel in the handler, the look before sending, at taking and after waits, the begun mark, the bound, the return of the room, the deadline's count.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fawnrelay/logic"
@@ -178,6 +179,7 @@
 // when the node drains.
 type clientConns struct {
 	most int
+	room *atomic.Int64 // bytes that may still be taken in
 
 	mu       sync.Mutex
 	open     map[net.Conn]*clientConn
@@ -192,8 +194,11 @@
 type clientConn struct {
 	net.Conn
 	owner *clientConns
+	left  chan struct{} // closed when the client is seen to have gone; the library may see it first
+	ahead atomic.Pointer[readAhead]
 	since time.Time // of its start, or of its last request's end
 	idle, // answered, and nothing of the next request was read
+	begun, // something of the next request was read while one was under way
 	proven, // it has sent a whole request
 	busy, // a whole request of it is under way
 	shut bool // closed by this side between requests
@@ -204,7 +209,13 @@
 // Read reads for the library. Once the connection is shut there is nothing to read,
 // whatever came meanwhile.
 func (c *clientConn) Read(b []byte) (int, error) {
-	k, err := c.Conn.Read(b)
+	var k int
+	var err error
+	if a := c.ahead.Load(); a != nil {
+		k, err = a.Read(b)
+	} else {
+		k, err = c.Conn.Read(b)
+	}
 	if k > 0 {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
@@ -212,14 +223,50 @@
 			return 0, io.EOF
 		}
 		c.idle = false
+		// The library watches for the client's end by reading one byte while a request is
+		// under way. If it gets one it watches no more: from then on this side does.
+		if len(b) == 1 {
+			c.begun = true
+			if c.ahead.Load() == nil {
+				c.ahead.Store(newReadAhead(c.Conn, c.owner.room, c.left))
+			}
+		}
 	}
 	return k, err
 }
 
+// SetReadDeadline implements [net.Conn].
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	if a := c.ahead.Load(); a != nil {
+		return a.setDeadline(t)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements [net.Conn].
+func (c *clientConn) Close() error {
+	err := c.Conn.Close()
+	if a := c.ahead.Load(); a != nil {
+		a.close()
+	}
+	return err
+}
+
 // close shuts a connection between requests. The owner's lock is held.
 func (c *clientConn) close() {
 	c.shut = true
-	c.Conn.Close() // its state becomes closed in due course
+	c.Close() // its state becomes closed in due course
+}
+
+// gone reports whether the client is known to have gone, or is found so by a look at
+// what the system holds, which this process may not have got round to reading.
+func (c *clientConn) gone() bool {
+	select {
+	case <-c.left:
+		return true
+	default:
+		return peek(c.Conn) == peekEnded
+	}
 }
 
 // context takes in a new connection and lets its handler find what is known of
@@ -228,6 +275,7 @@
 // are busy the new one goes.
 func (k *clientConns) context(ctx context.Context, nc net.Conn) context.Context {
 	c := nc.(*clientConn) // made by drainListener
+	c.left = make(chan struct{})
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if len(k.open) >= k.most {
@@ -250,21 +298,31 @@
 	return context.WithValue(ctx, clientConnKey{}, c)
 }
 
-// took notes that a whole request has come on the connection of a handler. It reports
-// false if this side has closed the connection before: the client sends it again.
-func took(ctx context.Context) bool {
+// clientOf finds the connection of a handler; nil: not one of a listener.
+func clientOf(ctx context.Context) *clientConn {
 	c, _ := ctx.Value(clientConnKey{}).(*clientConn)
+	return c
+}
+
+// took notes that a whole request has come on a connection. It reports false if this side
+// has closed it before, and the client sends the request again, or the client has gone.
+func (c *clientConn) took() bool {
 	if c == nil {
 		return true
 	}
+	if c.gone() {
+		return false
+	}
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	if c.shut {
 		return false
 	}
-	c.proven, c.busy = true, true
-	if c.owner.draining {
-		c.SetReadDeadline(time.Time{}) // lastCall may have set one, which would pass for a client gone
+	c.proven, c.busy, c.begun = true, true, false
+	if c.owner.draining || c.ahead.Load() != nil {
+		// lastCall may have set one, or the library for the request's head: it would pass
+		// for a client gone, or end the watch for that.
+		c.SetReadDeadline(time.Time{})
 	}
 	return true
 }
@@ -276,8 +334,8 @@
 	switch state {
 	case http.StateIdle:
 		if c := k.open[nc]; c != nil {
-			c.idle, c.busy, c.since = true, false, time.Now()
-			if k.draining {
+			c.idle, c.busy, c.since = !c.begun, false, time.Now()
+			if k.draining && c.idle {
 				c.close() // its answer went out before it could say so
 			}
 		}
@@ -360,10 +418,14 @@
 		defer n.bodies.Add(body)
 	}
 	r, ev, err := n.parse(req)
+	client, left := clientOf(req.Context()), (<-chan struct{})(nil)
 	if err == nil {
-		if !took(req.Context()) {
+		if !client.took() {
 			panic(http.ErrAbortHandler)
 		}
+		if client != nil {
+			r.client, left = client, client.left
+		}
 		if !n.arrive(r, ev) {
 			err = errors.New("a request of this id is open")
 		}
@@ -379,6 +441,9 @@
 	case <-req.Context().Done():
 		n.leave(r)
 		panic(http.ErrAbortHandler) // a return would answer 200
+	case <-left:
+		n.leave(r)
+		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
 	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
@@ -514,7 +579,8 @@
 		}
 	}
 	// The request's time runs from its last byte.
-	r.deadline = time.Now().Add(ev.Patience)
+	r.came = time.Now()
+	r.deadline = r.came.Add(ev.Patience)
 	r.head = forwardHead(req, id, key, len(r.body))
 	return r, ev, nil
 }
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -165,8 +165,7 @@
 		}()
 		req := httptest.NewRequest(http.MethodGet, "/lookup/x", nil).WithContext(ctx)
 		req.Host = "x"
-		req.Header = http.Header{"X-Trace-Id": {"00000000000000aa"}, "X-Qos": {"lookup"}, "Api-Plan": {"basic"},
-			"Api-Customer": {"00000000b4d65521"}, "X-Expires-In-Ms": {"3000"}, "Api-Terms": {"units=2,spread=2,first=1"}}
+		req.Header = usualHeader()
 		r.node.ServeHTTP(httptest.NewRecorder(), req)
 	}()
 	if got := app.requests(); len(got) > 0 {
@@ -186,6 +185,12 @@
 
 func (c readsText) Read(b []byte) (int, error) { return copy(b, c.text), nil }
 
+// usualHeader is that of a request of the class lookup.
+func usualHeader() http.Header {
+	return http.Header{"X-Trace-Id": {"00000000000000aa"}, "X-Qos": {"lookup"}, "Api-Plan": {"basic"},
+		"Api-Customer": {"00000000b4d65521"}, "X-Expires-In-Ms": {"3000"}, "Api-Terms": {"units=2,spread=2,first=1"}}
+}
+
 // arrived is the event of a usual request.
 func arrived(id string) logic.Arrived {
 	return logic.Arrived{ID: id, Patience: time.Second, Units: 1, Spread: 1}
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -1,11 +1,17 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"fawnrelay/logic"
 )
@@ -151,3 +157,361 @@
 	}
 	return out
 }
+
+// neverRan is what an app server says that has not begun a request.
+const neverRan = "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+
+// Guards app servers against work that nobody waits for: the client has sent more than its
+// request, at which the library's own watch stops, and then goes.
+func TestClientLeavesAfterSendingMore(t *testing.T) {
+	next := clientRequest("lookup", "00000000000000cc")
+	ends := map[string]func(*net.TCPConn){
+		"close":          func(c *net.TCPConn) { c.Close() },
+		"reset":          func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		"end of sending": func(c *net.TCPConn) { c.CloseWrite() },
+	}
+	for extra, text := range map[string]string{"a line's end": "\r\n", "a byte": "G", "half a request": next[:40],
+		"a request": next, "more than fits one read": strings.Repeat(next, 20)} {
+		for how, end := range ends {
+			t.Run(extra+", "+how, func(t *testing.T) {
+				let := make(chan struct{})
+				serve := func(c net.Conn, req *http.Request, body []byte) bool {
+					<-let
+					return say(neverRan)(c, req, body)
+				}
+				a, b := startApp(t, serve), startApp(t, serve)
+				cfg := testConfig(t)
+				cfg.Settings.Limits.Cancel = false // the attempt stays out when its client leaves
+				r := startNode(t, cfg, a.addr, b.addr)
+				c := r.dial()
+				io.WriteString(c, clientRequest("lookup", "00000000000000aa"))
+				eventually(t, "the attempt", func() bool { return len(a.requests())+len(b.requests()) == 1 })
+				io.WriteString(c, text)
+				readOn(r, len(text)-1) // the first byte is with the library
+				end(c.Conn.(*net.TCPConn))
+				forgotten(r)
+				close(let)
+				eventually(t, "the end of the attempt", func() bool {
+					r.node.mu.Lock()
+					defer r.node.mu.Unlock()
+					return len(r.node.requests) == 0
+				})
+				if got := append(a.requests(), b.requests()...); len(got) != 1 {
+					t.Errorf("app servers got %q", got)
+				}
+			})
+		}
+	}
+}
+
+// readOn waits until the node has read so many bytes ahead on its one connection.
+func readOn(r *rig, want int) {
+	r.t.Helper()
+	eventually(r.t, "the reading ahead", func() bool {
+		r.node.clients.mu.Lock()
+		defer r.node.clients.mu.Unlock()
+		for _, c := range r.node.clients.open {
+			if a := c.ahead.Load(); a != nil {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return len(a.buf) >= want
+			}
+		}
+		return false
+	})
+}
+
+// Guards what a client sends while its request is under way: it is kept in its order, up
+// to a bound and to what the memory holds of it, and served once its turn comes.
+func TestBytesReadAheadAreKept(t *testing.T) {
+	const small = 2 * aheadPart
+	for name, room := range map[string]int64{"room for all": 1 << 20, "little room": small} {
+		t.Run(name, func(t *testing.T) {
+			let := make(chan struct{})
+			app := startApp(t, func(c net.Conn, req *http.Request, body []byte) bool {
+				<-let
+				id := req.Header.Get("X-Trace-Id")
+				_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(id)+len(body), id, body)
+				return err == nil
+			})
+			cfg := testConfig(t)
+			cfg.Settings.Plans[0].Refill, cfg.Settings.Plans[0].Depth = 1e5, 1e5
+			r := startNode(t, cfg, app.addr)
+			r.node.bodies.Store(room)
+			c := r.dial()
+			io.WriteString(c, clientRequest("lookup", "0000000000000000"))
+			eventually(t, "the attempt", func() bool { return len(app.requests()) == 1 })
+			var text strings.Builder
+			n := 1
+			for ; text.Len() < 2*aheadMost; n++ { // lines and bodies that tell if one is lost or out of place
+				body := fmt.Sprintf("%08d--", n)
+				text.WriteString(clientRequest("merge", fmt.Sprintf("%016x", n), "0123456789", body))
+			}
+			wrote := make(chan error, 1)
+			go func() {
+				_, err := io.WriteString(c, text.String())
+				wrote <- err
+			}()
+			readOn(r, int(min(room, aheadMost)))
+			if left := r.node.bodies.Load(); left < 0 || left > max(room-aheadMost+2*aheadPart, 0) {
+				t.Errorf("%d of %d bytes are left while %d are kept", left, room, aheadMost)
+			}
+			close(let)
+			for i := range n {
+				want := fmt.Sprintf("%016x", i)
+				if i > 0 {
+					want += fmt.Sprintf("%08d--", i)
+				}
+				if resp, body := c.answer(); resp.StatusCode != http.StatusOK || body != want {
+					t.Fatalf("answer %d: status %d, %q", i, resp.StatusCode, body)
+				}
+			}
+			if err := <-wrote; err != nil {
+				t.Error(err)
+			}
+			if k := len(app.requests()); k != n {
+				t.Errorf("app server got %d requests, want %d", k, n)
+			}
+			c.Close()
+			eventually(t, "the return of the room", func() bool { return r.node.bodies.Load() == room })
+		})
+	}
+}
+
+// Guards a begun request that was read ahead when the word to stop comes: its connection
+// is not idle, and the request is served.
+func TestDrainCrossesBytesReadAhead(t *testing.T) {
+	let := make(chan struct{})
+	app := startApp(t, func(c net.Conn, req *http.Request, body []byte) bool {
+		<-let
+		return say(hello)(c, req, body)
+	})
+	r := startNode(t, testConfig(t), app.addr)
+	r.node.drain.read, r.node.drain.answer = patience, patience
+	c := r.dial()
+	io.WriteString(c, clientRequest("lookup", "00000000000000aa"))
+	eventually(t, "the attempt", func() bool { return len(app.requests()) == 1 })
+	next := clientRequest("lookup", "00000000000000bb")
+	io.WriteString(c, next[:40])
+	readOn(r, 39)
+	close(let)
+	c.answer()
+	r.stop()
+	eventually(t, "the drain", r.node.clients.closing)
+	if resp, _ := c.ask(next[40:]); resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("status %d, closing %v", resp.StatusCode, resp.Close)
+	}
+}
+
+// Guards the deadlines of a connection that is read ahead: one that passes is told to who
+// reads, another ends that, and what comes afterwards is read.
+func TestReadAheadDeadline(t *testing.T) {
+	here, there := net.Pipe()
+	defer there.Close()
+	r := startNode(t, testConfig(t))
+	left := make(chan struct{})
+	a := newReadAhead(here, &r.node.bodies, left)
+	a.setDeadline(time.Unix(1, 0))
+	if _, err := a.Read(make([]byte, 1)); err == nil || !err.(net.Error).Timeout() {
+		t.Errorf("past its deadline: %v", err)
+	}
+	a.setDeadline(time.Time{})
+	go io.WriteString(there, "x")
+	b := make([]byte, 2)
+	if k, err := a.Read(b); k != 1 || err != nil || b[0] != 'x' {
+		t.Errorf("after that: %q, %v", b[:k], err)
+	}
+	here.Close()
+	a.close()
+	receive(t, "the end", left)
+	if _, err := a.Read(b); err == nil {
+		t.Error("a closed connection is read")
+	}
+}
+
+// Guards the bounds of what is kept: one whole request, and but for the first part no more
+// than there is room for.
+func TestReadAheadBounds(t *testing.T) {
+	for _, c := range []struct {
+		have, taken, room int
+		more              bool
+	}{
+		{0, 0, 0, true},
+		{1, 0, 0, false},
+		{1, 0, aheadPart, true},
+		{aheadPart, aheadPart, 0, true},
+		{aheadPart + 1, aheadPart, 0, false},
+		{aheadMost - 1, 0, aheadMost, true},
+		{aheadMost, 0, 2 * aheadMost, false},
+	} {
+		var room atomic.Int64
+		room.Store(int64(c.room))
+		a := &readAhead{room: &room, buf: make([]byte, c.have), taken: int64(c.taken)}
+		if got := a.reserve(); got != c.more {
+			t.Errorf("%d bytes kept, %d taken, room for %d: more is read %v", c.have, c.taken, c.room, got)
+		}
+		if left := room.Load(); left < 0 || left+a.taken != int64(c.room+c.taken) {
+			t.Errorf("%d bytes kept, %d taken, room for %d: %d left, %d taken", c.have, c.taken, c.room, left, a.taken)
+		}
+	}
+}
+
+// late is a connection whose reads return when they are told to.
+type late struct {
+	net.Conn
+	reads   chan struct{}
+	results chan error
+}
+
+func (c late) Read(b []byte) (int, error) {
+	c.reads <- struct{}{}
+	if err := <-c.results; err != nil {
+		return 0, err
+	}
+	return copy(b, "x"), nil
+}
+
+func (late) SetReadDeadline(time.Time) error { return nil }
+
+// Guards the watch for a client's end against a deadline that is lifted while the read that
+// met it returns, as the library does at the end of each request.
+func TestReadAheadDeadlineIsLiftedMeanwhile(t *testing.T) {
+	c := late{reads: make(chan struct{}), results: make(chan error)}
+	r := startNode(t, testConfig(t))
+	a := newReadAhead(c, &r.node.bodies, make(chan struct{}))
+	receive(t, "the read", c.reads)
+	a.setDeadline(time.Time{})
+	c.results <- os.ErrDeadlineExceeded
+	receive(t, "the reading on", c.reads)
+	c.results <- nil
+	b := make([]byte, 2)
+	if k, err := a.Read(b); k != 1 || err != nil {
+		t.Errorf("read %q, %v", b[:k], err)
+	}
+	receive(t, "the read", c.reads)
+	c.results <- io.EOF
+}
+
+// Guards a connection on which something of the next request was read while one was under
+// way: it is not idle afterwards, and is not closed for that when the node drains.
+func TestBegunConnectionIsNotIdle(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		here, there := net.Pipe()
+		defer there.Close()
+		k := &clientConns{most: 1, open: map[net.Conn]*clientConn{}, draining: draining}
+		c := &clientConn{Conn: here, owner: k, left: make(chan struct{}), begun: true, busy: true}
+		k.open[c] = c
+		k.note(c, http.StateIdle)
+		if c.idle || c.shut || c.busy {
+			t.Errorf("draining %v: idle %v, shut %v, busy %v", draining, c.idle, c.shut, c.busy)
+		}
+	}
+}
+
+// begin hands the module a request without a listener. The lock is held.
+func (r *rig) begin(id string, client *clientConn) *request {
+	q := &request{id: id, client: client, came: time.Now().Add(-time.Second), deadline: time.Now().Add(patience),
+		answer: make(chan answer, 1), head: []byte("GET /lookup/x HTTP/1.1\r\nHost: x\r\nX-Trace-Id: " + id + "\r\nX-Expires-In-Ms: ")}
+	q.guard = r.node.after(patience, func() {})
+	r.node.requests[id] = q
+	r.node.post(logic.Arrived{ID: id, Customer: 1, Patience: patience, Units: 1, Spread: 1})
+	return q
+}
+
+// Guards app servers against work that nobody waits for: the module has told to send, on a
+// connection that rests, and before that is written the client is seen to have left.
+func TestClientLeavesBetweenTheWordAndTheSending(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		app := startApp(t, say(hello))
+		cfg := testConfig(t)
+		cfg.Settings.Limits.Cancel = cancel
+		r := startNode(t, cfg, app.addr)
+		r.dial().ask(clientRequest("lookup", "00000000000000aa"))
+		r.node.mu.Lock()
+		s := r.node.pool.servers["s-0"]
+		if len(s.idle) != 1 {
+			t.Fatalf("%d connections rest", len(s.idle))
+		}
+		s.idle[0].since = time.Now().Add(-2 * restTime)
+		q := r.begin("00000000000000bb", nil)
+		if q.out != 1 || len(s.idle) != 0 {
+			t.Fatalf("%d attempts out, %d connections rest", q.out, len(s.idle))
+		}
+		r.node.left(q)
+		r.node.mu.Unlock()
+		eventually(t, "the end of the attempt", func() bool {
+			r.node.mu.Lock()
+			defer r.node.mu.Unlock()
+			return len(r.node.requests) == 0 && (cancel && r.node.pool.open == 0 || !cancel && len(s.idle) == 1)
+		})
+		if got := app.requests(); len(got) != 1 {
+			t.Errorf("cancelling %v: app server got %q", cancel, got)
+		}
+	}
+}
+
+// leftClient is a connection whose client has closed it, which nobody has read yet.
+func (r *rig) leftClient() *clientConn {
+	r.t.Helper()
+	ln := listen(r.t)
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	nc, err := ln.Accept()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { nc.Close() })
+	if got := peek(nc); got != peekSilent {
+		r.t.Errorf("before the client leaves: %d", got)
+	}
+	client.Close()
+	eventually(r.t, "the client's end", func() bool { return peek(nc) == peekEnded })
+	return &clientConn{Conn: nc, owner: &r.node.clients, left: make(chan struct{})}
+}
+
+// Guards app servers against work that nobody waits for where this process stood still: the
+// client has closed its connection, and who reads that has not got round to it when the
+// attempt of a request that has waited would be written, or when the request is taken.
+func TestClientHasLeftUnseen(t *testing.T) {
+	app := startApp(t, say(hello))
+	r := startNode(t, testConfig(t), app.addr)
+	r.node.mu.Lock()
+	r.begin("00000000000000aa", r.leftClient())
+	r.node.mu.Unlock()
+	eventually(t, "the end of the attempt", func() bool {
+		r.node.mu.Lock()
+		defer r.node.mu.Unlock()
+		return len(r.node.requests) == 0
+	})
+	func() {
+		defer func() {
+			if p := recover(); p != http.ErrAbortHandler {
+				t.Errorf("the handler ends with %v", p)
+			}
+		}()
+		req := httptest.NewRequest(http.MethodGet, "/lookup/x", nil)
+		req = req.WithContext(context.WithValue(req.Context(), clientConnKey{}, r.leftClient()))
+		req.Host = "x"
+		req.Header = usualHeader()
+		r.node.ServeHTTP(httptest.NewRecorder(), req)
+	}()
+	if got := app.requests(); len(got) > 0 {
+		t.Errorf("app server got %q", got)
+	}
+}
+
+// Guards app servers against half a request: the client goes while it sends the body.
+func TestClientLeavesWithHalfABody(t *testing.T) {
+	app := startApp(t, say(hello))
+	r := startNode(t, testConfig(t), app.addr)
+	c := r.dial()
+	text := clientRequest("merge", "00000000000000aa")
+	io.WriteString(c, text[:len(text)-5])
+	c.Conn.(*net.TCPConn).CloseWrite()
+	io.ReadAll(c.br) // until the node has done with it
+	if got := app.requests(); len(got) > 0 {
+		t.Errorf("app server got %q", got)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,9 @@
 	// guardLead is how long before a request's deadline it is failed if the
 	// module has not ended it.
 	guardLead = 8 * time.Millisecond
+	// leaveLook is how long a request may have waited before it is worth a look whether its
+	// client is still there: no attempt may begin 0.1 s after that has gone.
+	leaveLook = 50 * time.Millisecond
 )
 
 // Config is what an edge node is told when it starts.
@@ -90,6 +93,8 @@
 	id       string
 	head     []byte // the forwarded head up to the deadline's value
 	body     []byte
+	client   *clientConn // nil: not of a listener
+	came     time.Time   // when its last byte was read
 	deadline time.Time
 	window   time.Duration // for which repeats are dropped; 0: the class has no key
 	guard    *time.Timer
@@ -124,6 +129,7 @@
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.pool = newPool(cfg.Settings, cfg.Sockets)
 	n.clients = clientConns{most: 512, open: map[net.Conn]*clientConn{}}
+	n.clients.room = &n.bodies
 	n.bodies.Store(64 << 20)
 	if cfg.Memory > 0 {
 		n.bodies.Store(max(int64(bodyShare*float64(cfg.Memory)), bodyMost))
@@ -284,6 +290,19 @@
 func (n *Node) leave(r *request) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.left(r)
+}
+
+// missed looks, before an attempt of a request that has waited, whether its client has
+// gone: who reads its connection may not have got round to that.
+func (n *Node) missed(r *request, now time.Time) {
+	if r.client != nil && !r.final && now.Sub(r.came) > leaveLook && r.client.gone() {
+		n.left(r)
+	}
+}
+
+// left is leave under the lock.
+func (n *Node) left(r *request) {
 	if !r.final {
 		n.settle(r, answer{})
 		n.post(logic.Left{ID: r.id})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -111,6 +111,17 @@
 	}
 }
 
+// receive takes what is sent to a channel, or sees it closed.
+func receive[T any](t *testing.T, what string, from <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(patience):
+		t.Fatalf("%s: not within %v", what, patience)
+	}
+	return v
+}
+
 // appServer accepts connections and has each request on them answered by serve,
 // which reports whether the connection stays open.
 type appServer struct {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"math/bits"
 	"net"
@@ -203,24 +202,11 @@
 	}
 }
 
-// quiet reports whether an idle connection is open and has nothing to read.
+// quiet reports whether an idle connection is open and has nothing to read. What is no
+// socket can't be asked.
 func (c *conn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && silent
+	_, socket := c.Conn.(syscall.Conn)
+	return !socket || peek(c.Conn) == peekSilent
 }
 
 // attempt is one attempt of a request.
@@ -336,23 +322,47 @@
 	return c
 }
 
+// reuse takes c for an attempt, unless that is over or may no longer begin: then it
+// returns nil, as connect does.
+func (n *Node) reuse(c *conn, a *attempt, begin func(*conn) bool) *conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case !a.ended && begin(c):
+		return c
+	case a.ended: // which closed it
+		n.pool.discard(c)
+	default:
+		a.conn = nil
+		n.pool.give(c)
+	}
+	return nil
+}
+
 // run carries one attempt through on c, or on a new connection if c is nil.
 func (n *Node) run(ctx context.Context, a *attempt, s *server, addr string, c *conn, text net.Buffers) {
+	begin := func(c *conn) bool {
+		now := time.Now()
+		if n.missed(a.request, now); a.ended || a.request.final || !n.mayBegin(s, now) || !a.request.mayRepeat(a, now) {
+			return false
+		}
+		a.conn = c
+		return true
+	}
 	if c == nil {
-		c = n.connect(ctx, s, addr, func(c *conn) bool {
-			now := time.Now()
-			if a.ended || a.request.final || !n.mayBegin(s, now) || !a.request.mayRepeat(a, now) {
-				return false
-			}
-			a.conn = c
-			return true
-		})
-		if c == nil {
-			n.mu.Lock()
+		c = n.connect(ctx, s, addr, begin)
+	} else {
+		c = n.reuse(c, a, begin)
+	}
+	if c == nil {
+		n.mu.Lock()
+		if a.request.final { // no fault of the server's
+			n.end(a, logic.Unsent, logic.Report{})
+		} else {
 			n.end(a, logic.NoRoute, logic.Report{})
-			n.mu.Unlock()
-			return
 		}
+		n.mu.Unlock()
+		return
 	}
 	wrote := time.Now()
 	got := c.exchange(text)
