Spare cold servers the work that nobody answers

Each gateway draws cold servers for a part of what it sends; that many gateways know nothing yet, or have clients that all come again, the sending is three times what the servers can do, and a cold one got its part of that.

At fault: pick, whose share of the mean work is a share of what is sent. Change: the draw goes by the part of the attempts of the last 3 s that answers bear out; what is free of that is five attempts for each server over all gateways.

It fails without the change.

--- /dev/null
+++ b/logic/cold_test.go
@@ -0,0 +1,436 @@
+package logic_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"fawnrelay/logic"
+)
+
+// The tests of this file count what a whole fleet sends to servers that have just started.
+
+const (
+	coldServers  = 30
+	coldCapacity = 12.0 // requests of mean work that a warm server does in a second
+	coldAt       = 15 * time.Second
+	coldEnd      = coldAt + 12*time.Second
+	coldTrip     = 2 * ms // one way between gateways and servers
+	coldRoom     = 60     // requests that wait at a server; more are turned away
+)
+
+// world is a fleet before its servers, in simulated time.
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand
+	set     logic.Settings
+	now     time.Duration
+	due     dueHeap
+	nth     int
+	rigs    []*gateway
+	weights []float64 // of the traffic, added up, by gateway
+	servers map[string]*backend
+	order   []*backend
+	tries   int
+	again   bool // clients repeat at once what is refused
+	served  int
+}
+
+type dueAt struct {
+	at  time.Duration
+	nth int
+	do  func()
+}
+
+type dueHeap []dueAt
+
+func (h dueHeap) Len() int { return len(h) }
+func (h dueHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].nth < h[j].nth
+}
+func (h dueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(x any)   { *h = append(*h, x.(dueAt)) }
+func (h *dueHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.nth++
+	heap.Push(&w.due, dueAt{w.now + d, w.nth, do})
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.due) > 0 && w.due[0].at <= until {
+		e := heap.Pop(&w.due).(dueAt)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// backend is a server that works on its requests in turn, as fast as it is warm. What is
+// not begun in its time is not begun at all.
+type backend struct {
+	logic.Server
+	w       *world
+	lost    bool
+	idleAt  time.Duration
+	waiting int
+	busy    float64 // share of the time that it works
+	busyAt  time.Duration
+	got     []time.Duration // when requests came that count for the rule on cold servers
+}
+
+// warmth is the part of its capacity that a server has at some time.
+func (b *backend) warmth(at time.Duration) float64 {
+	if b.Born == 0 || at >= b.Born+b.w.set.WarmUp {
+		return 1
+	}
+	return b.w.set.ColdFrom + (1-b.w.set.ColdFrom)*max((at-b.Born).Seconds(), 0)/b.w.set.WarmUp.Seconds()
+}
+
+// gateway is one of the fleet.
+type gateway struct {
+	w    *world
+	g    *logic.Gateway
+	life int // lives before this one
+	open map[string]*clientTry
+}
+
+// clientTry is one client's try.
+type clientTry struct {
+	id      string
+	left    int // times that the client will ask again
+	until   time.Duration
+	sent    []time.Duration
+	servers []string
+	ended   []bool
+	over    bool
+}
+
+func (r *gateway) step(ev logic.Event) {
+	life := r.life
+	for _, a := range r.g.Step(r.w.now, ev, nil) {
+		switch a := a.(type) {
+		case logic.Wake:
+			r.w.after(a.After, func() {
+				if r.life == life {
+					r.step(logic.Woke{Cookie: a.Cookie})
+				}
+			})
+		case logic.Count: // nobody else asks for this customer's units
+			r.w.after(ms, func() {
+				if r.life == life {
+					r.step(logic.Counted{Name: a.Name, Total: max(a.Units, 0)})
+				}
+			})
+		case logic.Send:
+			r.send(a)
+		case logic.Refuse:
+			r.final(a.ID, false)
+		case logic.Fail:
+			r.final(a.ID, false)
+		case logic.Cancel:
+			if q := r.open[a.ID]; q != nil {
+				r.end(q, a.Attempt, logic.Undone, 0)
+			}
+		}
+	}
+}
+
+// final takes a request's answer. A client that is turned away may ask again at once.
+func (r *gateway) final(id string, served bool) {
+	q := r.open[id]
+	if q == nil || q.over {
+		return
+	}
+	q.over = true
+	if served {
+		r.w.served++
+	} else if q.left > 0 {
+		r.w.after(coldTrip, func() { r.w.arrive(q.left - 1) })
+	}
+}
+
+func (r *gateway) end(q *clientTry, k int, o logic.Outcome, busy float64) {
+	if q.ended[k] {
+		return
+	}
+	q.ended[k] = true
+	if o == logic.Pass {
+		r.final(q.id, true)
+	}
+	r.step(logic.Ended{ID: q.id, Attempt: k, Server: q.servers[k], Outcome: o, Lag: r.w.now - q.sent[k], Over: q.over,
+		Report: logic.Report{Busy: &busy}})
+}
+
+func (r *gateway) send(a logic.Send) {
+	w, q, b := r.w, r.open[a.ID], r.w.servers[a.Server]
+	k := len(q.sent)
+	q.sent, q.servers, q.ended = append(q.sent, w.now), append(q.servers, a.Server), append(q.ended, false)
+	until := q.until
+	if a.Timeout > 0 {
+		until = min(until, w.now+a.Timeout)
+	}
+	life := r.life
+	end := func(o logic.Outcome) {
+		if r.life == life {
+			r.end(q, k, o, b.busy)
+		}
+	}
+	w.after(until-w.now, func() { end(logic.TimedOut) })
+	w.after(coldTrip, func() {
+		if b.lost {
+			return
+		}
+		b.got = append(b.got, w.now)
+		if b.waiting >= coldRoom {
+			w.after(coldTrip, func() { end(logic.Full) })
+			return
+		}
+		b.waiting++
+		begin := max(b.idleAt, w.now)
+		if begin >= until { // its time will be over
+			w.after(begin-w.now, func() { b.waiting-- })
+			return
+		}
+		work := time.Duration(w.rng.ExpFloat64() / (coldCapacity * b.warmth(begin)) * float64(time.Second))
+		b.idleAt = begin + work
+		w.after(b.idleAt-w.now, func() {
+			b.waiting--
+			fade := math.Exp(-(w.now - b.busyAt).Seconds())
+			b.busy, b.busyAt = min(b.busy*fade+work.Seconds(), 1), w.now
+			if !b.lost {
+				w.after(coldTrip, func() { end(logic.Pass) })
+			}
+		})
+	})
+}
+
+// arrive brings a client's try to a gateway by the weights of the traffic.
+func (w *world) arrive(left int) {
+	at := w.rng.Float64() * w.weights[len(w.weights)-1]
+	i, _ := slices.BinarySearch(w.weights, at)
+	r := w.rigs[i]
+	w.tries++
+	life := r.life
+	q := &clientTry{id: fmt.Sprintf("%016x", w.tries), left: left, until: w.now + 2500*ms}
+	r.open[q.id] = q
+	w.after(2500*ms, func() {
+		if r.life == life && !q.over {
+			q.over = true
+			r.step(logic.Left{ID: q.id})
+		}
+		w.after(time.Second, func() { delete(r.open, q.id) })
+	})
+	r.step(logic.Arrived{ID: q.id, Plan: 1, Customer: uint64(i)<<8 | uint64(w.tries%5), Patience: 2500 * ms, Units: 1, Spread: 1})
+}
+
+// offer brings tries, rate a second, until a time.
+func (w *world) offer(rate float64, until time.Duration, left int) {
+	gap := time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
+	if w.now+gap < until {
+		w.after(gap, func() {
+			w.arrive(left)
+			w.offer(rate, until, left)
+		})
+	}
+}
+
+// tell hands news of servers to all gateways, each up to a second late.
+func (w *world) tell(scope logic.ListScope, servers ...logic.Server) {
+	for _, r := range w.rigs {
+		life := r.life
+		w.after(time.Duration(w.rng.Float64()*float64(time.Second)), func() {
+			if r.life == life {
+				r.step(logic.ServersChanged{Scope: scope, Servers: servers})
+			}
+		})
+	}
+}
+
+// list is the whole list as it is.
+func (w *world) list() (list []logic.Server) {
+	for _, b := range w.order {
+		if b.State == logic.Serving && !b.lost {
+			list = append(list, b.Server)
+		}
+	}
+	return list
+}
+
+// add starts a server.
+func (w *world) add(id string, born time.Duration) logic.Server {
+	b := &backend{w: w, Server: logic.Server{ID: id, Weight: 1, Born: born, Zone: len(w.order) % 3}}
+	w.servers[id], w.order = b, append(w.order, b)
+	return b.Server
+}
+
+// restart gives a server's id a new process.
+func (w *world) restart(b *backend) logic.Server {
+	b.lost, b.Born, b.idleAt, b.got, b.State = false, w.now, w.now, nil, logic.Serving
+	return b.Server
+}
+
+// start gives a gateway a new life.
+func (r *gateway) start(rank int) {
+	set := r.w.set
+	set.Rank, set.Seed = rank, uint64(rank+1000*r.life+1)
+	g, err := logic.New(r.w.now, set)
+	if err != nil {
+		r.w.t.Fatal(err)
+	}
+	r.life++
+	r.g, r.open = g, map[string]*clientTry{}
+	r.step(logic.ServersChanged{Scope: logic.ListOld, Servers: r.w.list()})
+}
+
+// nearest is the nearest approach of any cold server to its bound: the requests that came
+// in a time of the settings' length over N + 2 x root of N + 2, where N is what the settings
+// allow by its capacity when that time begins.
+func (w *world) nearest() (most float64) {
+	span := w.set.OverloadFor
+	for _, b := range w.order {
+		if b.Born == 0 {
+			continue
+		}
+		first := 0
+		for i, at := range b.got {
+			for b.got[first] <= at-span {
+				first++
+			}
+			begin := max(at-span, b.Born)
+			if b.warmth(begin) >= 1 {
+				break
+			}
+			n := w.set.FallMultiple * b.warmth(begin) * coldCapacity * span.Seconds()
+			most = max(most, float64(i-first+1)/(n+2*math.Sqrt(n)+2))
+		}
+	}
+	return most
+}
+
+func newWorld(t *testing.T, gateways int, uneven bool) *world {
+	t.Helper()
+	set := settings()
+	set.Gateways, set.Classes = gateways, []logic.Class{{Aim: time.Second, Deadline: 2500 * ms, Effect: logic.Repeatable, Worth: 1}}
+	set.Plans[1] = logic.Plan{Rate: 1e5, Burst: 1e6, Worth: 1} // quotas are not what this is about
+	set.ColdFrom, set.WarmUp, set.FallMultiple, set.OverloadFor = 0.27, 18*time.Second, 2.5, 3*time.Second
+	set.MaxAttempts = 4
+	w := &world{t: t, rng: rand.New(rand.NewPCG(uint64(gateways), 21)), set: set, servers: map[string]*backend{}}
+	for i := range coldServers {
+		w.add(fmt.Sprint("s", i), 0)
+	}
+	sum := 0.0
+	for i := range gateways {
+		weight := 1.0
+		if uneven && i%8 == 0 {
+			weight = 6 // four times the mean
+		}
+		sum += weight
+		w.weights = append(w.weights, sum)
+		r := &gateway{w: w}
+		w.rigs = append(w.rigs, r)
+		r.start(i)
+	}
+	return w
+}
+
+// Guards cold servers against the sum of what all gateways send them, each of which sees
+// little: in no time of the settings' length does one get more than it bears.
+func TestFleetNeverPushesAColdServerOver(t *testing.T) {
+	const usual = 0.6 * coldServers * coldCapacity
+	join := func(w *world, k int) {
+		var news []logic.Server
+		for i := range k {
+			news = append(news, w.add(fmt.Sprint("new", i), w.now))
+		}
+		w.tell(logic.ListPartial, news...)
+	}
+	lose := func(w *world, each func(int) bool) (gone []*backend) {
+		var news []logic.Server
+		for i, b := range w.order {
+			if each(i) {
+				b.lost, b.State = true, logic.Deleted
+				gone, news = append(gone, b), append(news, b.Server)
+			}
+		}
+		w.after(2*time.Second, func() { w.tell(logic.ListPartial, news...) })
+		return gone
+	}
+	back := func(w *world, gone []*backend) {
+		var news []logic.Server
+		for _, b := range gone {
+			news = append(news, w.restart(b))
+		}
+		w.tell(logic.ListPartial, news...)
+	}
+	for _, c := range []struct {
+		name  string
+		rate  float64
+		left  int // times that a client asks again at once
+		event func(w *world)
+	}{
+		{"some join", usual, 0, func(w *world) { join(w, 3) }},
+		{"one joins under a burst", 1.6 * usual, 0, func(w *world) { join(w, 1) }},
+		{"a zone back all cold", usual, 0, func(w *world) {
+			gone := lose(w, func(i int) bool { return i%3 == 0 })
+			w.after(5*time.Second, func() { back(w, gone) })
+		}},
+		{"six in ten replaced", usual, 0, func(w *world) {
+			for i := range coldServers * 6 / 10 {
+				w.after(time.Duration(i)*7*time.Second/(coldServers*6/10), func() {
+					old := w.order[i]
+					old.State = logic.Draining
+					w.tell(logic.ListPartial, old.Server, w.add(fmt.Sprint("new", i), w.now))
+				})
+			}
+		}},
+		{"all gateways restarted", usual, 0, func(w *world) {
+			for i := range 6 {
+				w.restart(w.order[5*i])
+			}
+			for i, r := range w.rigs {
+				r.start(i)
+			}
+		}},
+		{"repeated at once", 1.3 * usual, 2, func(w *world) { join(w, 3) }},
+		{"few warm ones left", usual, 0, func(w *world) {
+			gone := lose(w, func(i int) bool { return i%6 != 0 })
+			w.after(3*time.Second, func() { back(w, gone) })
+		}},
+		{"few warm ones left, all gateways restarted, repeated at once", 1.3 * usual, 2, func(w *world) {
+			back(w, lose(w, func(i int) bool { return i%6 != 0 }))
+			for i, r := range w.rigs {
+				r.start(i)
+			}
+		}},
+	} {
+		for _, gateways := range []int{20, 30, 80, 300, 840} {
+			for _, uneven := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%d gateways, uneven %v", c.name, gateways, uneven), func(t *testing.T) {
+					t.Parallel()
+					w := newWorld(t, gateways, uneven)
+					w.offer(c.rate, coldEnd, c.left)
+					w.run(coldAt)
+					c.event(w)
+					w.run(coldEnd)
+					near := w.nearest()
+					t.Logf("nearest approach %.2f of the bound, %d of %d tries served", near, w.served, w.tries)
+					if near == 0 {
+						t.Error("no cold server got anything")
+					}
+					if near > 1 {
+						t.Errorf("a cold server got %.2f times what it bears", near)
+					}
+				})
+			}
+		}
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,6 +73,7 @@
 	overServed   = 1.3             // attempts sent for each answer in time, at most
 	noteSpan     = 3 * time.Second // over which these are counted
 	noteFew      = 1.5             // unanswered ones that prove nothing
+	blindSends   = 5.0             // for each server, by all gateways: with coldMost it is two for a cold one
 	fullShare    = 0.4             // part of the aim that an attempt may be expected to take
 	idleShare    = 0.65            // the same where none of ours waits: no queue is the cause
 	idleKnows    = 3               // gateways up to which an idle server of ours is taken to be idle
@@ -110,7 +111,8 @@
 	beatAt, stalledAt Time                 // when the next beat is due, and the last standstill
 	beyond            [][evidences]float64 // by plan and what is known: share of counted tries beyond
 	worth             float64              // mean worth at risk in a blind decision
-	tried, served     float64              // attempts in noteSpan, and answers in time among them
+	tried, served     float64              // attempts that ended in noteSpan, and answers in time among them
+	begun             float64              // attempts sent in noteSpan
 	notedAt           Time
 	again             float64 // further attempts in hand
 	trialKind         Effect  // the least delicate effect here; only such requests try suspects
@@ -564,7 +566,15 @@
 // gateway's few attempts show no queue; losses of a quarter of the answers leave it idle.
 func (g *Gateway) note(tried, served float64) {
 	fade := math.Exp(-(g.now - g.notedAt).Seconds() / noteSpan.Seconds())
-	g.tried, g.served, g.notedAt = g.tried*fade+tried, g.served*fade+served, g.now
+	g.tried, g.served, g.begun, g.notedAt = g.tried*fade+tried, g.served*fade+served, g.begun*fade, g.now
+}
+
+// answered is the part of what was sent lately that the answers bear out, as a guide to what the servers can
+// do: many gateways that know nothing yet, or whose clients all come again, send far more than that.
+func (g *Gateway) answered(servers int) float64 {
+	g.note(0, 0)
+	blind := min(noteFew, blindSends*float64(servers)/float64(g.set.Gateways))
+	return min(1, (overServed*g.served+blind)/max(g.begun, 1))
 }
 
 func seconds(s float64) time.Duration {
@@ -699,10 +709,10 @@
 	}
 	// A cold server is drawn for its part of the work, whatever its times tell: for what it surely can do of
 	// what all in reach can, so that neither warm nor cold ones have more than their share. But of the mean
-	// work it gets no more than coldMost, also where too few are left for that work: all gateways together
-	// stay well below what makes it fall over.
+	// work it gets no more than coldMost, also where too few are left for that work, and of work that nobody
+	// answers next to nothing: all gateways together stay well below what makes it fall over.
 	share := min(1/able, max(coldMost*g.set.FallMultiple, 1)/reach)
-	if cold != nil && bestRank > 0 && g.rng.Float64() < coldAble*share {
+	if cold != nil && bestRank > 0 && g.rng.Float64() < coldAble*share*g.answered(listed) {
 		best, bestTime = cold, g.expected(cold, r.class)
 	}
 	if best != nil && best.suspended && believe {
@@ -872,6 +882,8 @@
 	if s.unanswered == 0 {
 		s.silentFrom = g.now
 	}
+	g.note(0, 0)
+	g.begun++
 	s.unanswered++
 	r.attempts = append(r.attempts,
 		attempt{server: s, sent: g.now, out: true, before: s.out, trial: s.suspended})
