Keep 16 descriptors beside the connections of clients and to app servers

Seen (the program itself with 64 descriptors, 150 idle clients that come again, discovery, counter and an app server down): 38 descriptors in use with 26 clients, 25 more that app servers may take, and 2 for discovery and the counter: 65. By fixed shares (0.42 each) the rest is a sixth, which is less than the process needs for itself where descriptors are few.

--- a/cmd/fawnrelay/main_test.go
+++ b/cmd/fawnrelay/main_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -97,6 +98,11 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv("FAWNRELAY_TEST_MAIN") != "" {
+		if files, err := strconv.ParseUint(os.Getenv("FAWNRELAY_TEST_FILES"), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: files, Max: files}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 		n.bodies.Store(max(int64(bodyShare*float64(cfg.Memory)), bodyMost))
 	}
 	if cfg.Sockets > 0 {
-		n.clients.most = max(int(float64(cfg.Sockets)*clientShareOpen), 1)
+		n.clients.most = connectionsMost(cfg.Sockets, clientShareOpen)
 	}
 	if cfg.Counter != "" {
 		n.counter = newCounter(n, cfg.Counter)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -662,6 +662,21 @@
 	}
 }
 
+// Guards the descriptors that neither clients nor app servers may take, also where there are few.
+func TestDescriptorsAreKept(t *testing.T) {
+	for _, sockets := range []int{24, 40, 64, 99, 256, 1024} {
+		cfg := testConfig(t)
+		cfg.Sockets = sockets
+		n, err := New(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n.clients.most < 1 || n.pool.most < 1 || n.clients.most+n.pool.most+descriptorsKept > sockets {
+			t.Errorf("of %d descriptors %d are for clients and %d for app servers", sockets, n.clients.most, n.pool.most)
+		}
+	}
+}
+
 // Guards good clients against a crowd that says nothing or half a request: those
 // make room, not the connections on which whole requests came.
 func TestCrowd(t *testing.T) {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -112,7 +112,7 @@
 	p := pool{servers: map[string]*server{}, most: 512, dial: set.Limits.DialTimeout,
 		idleLimit: set.Limits.IdleClose / 2, grace: set.Contract.DrainGrace}
 	if sockets > 0 {
-		p.most = max(int(float64(sockets)*idleShareOpen), 1)
+		p.most = connectionsMost(sockets, idleShareOpen)
 	}
 	if p.dial <= 0 {
 		p.dial = 250 * time.Millisecond
