--- a/internal/knownred/judge_test.go
+++ b/internal/knownred/judge_test.go
@@ -45,6 +45,8 @@
 		{"a listed one never ends", one, run("p", "fail", "TestA", "TestB pass"), "TestA: not finished", ""},
 		{"a package fails by itself", one, red + run("q", "fail", "TestC pass"), "q: fail", ""},
 		{"a package never ends", one, red + run("q", "", "TestC pass"), "q: not finished", ""},
+		{"a failed one's text", one, output("p", "of a failure\n") + red, "", "of a failure"},
+		{"the text of one that never ends", one, output("p", "of a hang\n") + run("p", "fail", "TestA"), "not finished", "of a hang"},
 		{"a panic", one, output("p", "panic: oh\n") + red, "panic: oh", "panic: oh"},
 		{"a time-out", one, output("p", "panic: test timed out after 10m0s\n") + red, "timed out", ""},
 		{"a data race", one, output("p", "WARNING: DATA RACE\n") + red, "DATA RACE", ""},
@@ -68,6 +70,16 @@
 	}
 }
 
+// Guards the reading: what passed tests said is not shown, what packages say is.
+func TestJudgeShowsLittle(t *testing.T) {
+	var out strings.Builder
+	events := output("p", "of a pass\n") + run("p", "pass", "TestA pass") +
+		`{"Action":"output","Package":"p","Output":"ok  \tp\t0.1s\n"}` + "\n"
+	if err := judge(nil, strings.NewReader(events), &out); err != nil || out.String() != "ok  \tp\t0.1s\n" {
+		t.Errorf("%v, says %q", err, out.String())
+	}
+}
+
 // Guards the list's form.
 func TestParseList(t *testing.T) {
 	line := func(n int) string { return fmt.Sprintf("Test%d: its cause: issue %d\n", n, n) }
--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -1,5 +1,5 @@
-// Command knownred reads what `go test -json` prints on its standard input, shows the tests'
-// own text, and judges the run by the file KNOWN-RED.txt of the current folder: tests listed
+// Command knownred reads what `go test -json` prints on its standard input, shows what packages
+// and failed tests say, and judges the run by the file KNOWN-RED.txt of the current folder: tests listed
 // there may fail, and only these.
 //
 // Each line of the file is "TestName: cause: issue"; there are three at most. No file, or an
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -53,11 +53,11 @@
 
 	// clientShareOpen is the share of the descriptors that client connections may take.
 	clientShareOpen = 0.42
-	// descriptorsKept is what the process needs beside the connections of clients and to app
+	// reservedDescriptors is what the process needs beside the connections of clients and to app
 	// servers: its three streams, the runtime's two, the listener, a connection to discovery
 	// and to the counter at the old address and the new one, the configuration while it is
 	// read, and new connections that are about to make room. The rest is for both alike.
-	descriptorsKept = 16
+	reservedDescriptors = 16
 	// bodyShare is the share of the memory that bodies in hand may take.
 	bodyShare = 0.1
 	// bodySmall is what a body may have without taking part in that: declared and
@@ -75,7 +75,7 @@
 // connectionsMost is how many connections of a kind there may be, by the descriptors that
 // the process may hold and the kind's share of them.
 func connectionsMost(descriptors int, share float64) int {
-	return max(min(int(float64(descriptors)*share), (descriptors-descriptorsKept)/2), 1)
+	return max(min(int(float64(descriptors)*share), (descriptors-reservedDescriptors)/2), 1)
 }
 
 // Run serves clients until ctx is done, then finishes what it has taken.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -39,7 +39,7 @@
 	askedSpread = 3500 * time.Millisecond // over which those go at most: after SIGHUP news count as told in 4 s
 	askedSteps  = 4                       // by which the period is longer than the spread
 	askedEvery  = 4 * time.Second         // the longest period, from call to call
-	askedVary   = 0.15                    // part of the period by which it varies
+	askedJitter = 0.15                    // random part of the period
 	askedAnswer = 1800 * time.Millisecond // what the waits leave of toldAfter for an answer, its way and its use
 	// A call is given up later than that: no period is longer for it, the service works on
 	// it all the same, and early in a spread there is time for a longer line.
@@ -143,5 +143,5 @@
 	case first: // nodes often fail together; here with what is left of the time since the call began
 		return time.Duration(p.rng.Float64() * float64(max(min(p.spread, toldAfter-askedAnswer-took), 0)))
 	}
-	return max(time.Duration((1-askedVary*p.rng.Float64())*float64(p.every))-took, 0)
+	return max(time.Duration((1-askedJitter*p.rng.Float64())*float64(p.every))-took, 0)
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -569,9 +569,9 @@
 	g.tried, g.served, g.begun, g.notedAt = g.tried*fade+tried, g.served*fade+served, g.begun*fade, g.now
 }
 
-// answered is the part of what was sent lately that the answers bear out, as a guide to what the servers can
-// do: many gateways that know nothing yet, or whose clients all come again, send far more than that.
-func (g *Gateway) answered(servers int) float64 {
+// successRatio is the part of what was sent lately that the answers bear out: a guide to what servers can
+// do. Many gateways that know nothing yet, or whose clients all come again, send far more than that.
+func (g *Gateway) successRatio(servers int) float64 {
 	g.note(0, 0)
 	blind := min(noteFew, blindSends*float64(servers)/float64(g.set.Gateways))
 	return min(1, (overServed*g.served+blind)/max(g.begun, 1))
@@ -712,7 +712,7 @@
 	// work it gets no more than coldMost, also where too few are left for that work, and of work that nobody
 	// answers next to nothing: all gateways together stay well below what makes it fall over.
 	share := min(1/able, max(coldMost*g.set.FallMultiple, 1)/reach)
-	if cold != nil && bestRank > 0 && g.rng.Float64() < coldAble*share*g.answered(listed) {
+	if cold != nil && bestRank > 0 && g.rng.Float64() < coldAble*share*g.successRatio(listed) {
 		best, bestTime = cold, g.expected(cold, r.class)
 	}
 	if best != nil && best.suspended && believe {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1151,3 +1151,53 @@
 		}
 	}
 }
+
+func TestNothingIsSentForAClientThatHasLeft(t *testing.T) {
+	// Each wait in which it may go: for a second copy, for a further attempt, and for the counter's answer, which
+	// may come in time, late or never.
+	gone := func(t *testing.T, as []logic.Action) {
+		t.Helper()
+		if s := sent(as); len(s) > 0 {
+			t.Errorf("sent %v", s)
+		}
+	}
+	for _, cancel := range []bool{true, false} {
+		set := settings()
+		set.MayCancel = cancel
+		r := newRig(t, set, 8)
+		id, as := r.arrive(0, 1, 1, 1)
+		s := sent(as)
+		if len(s) != 1 {
+			t.Fatalf("sent %v", s)
+		}
+		gone(t, r.step(logic.Left{ID: id}))
+		gone(t, r.run(time.Second, totals(0))) // a copy's time
+		gone(t, r.step(logic.Ended{ID: id, Server: s[0].Server, Outcome: logic.Full, Lag: time.Second, Over: true}))
+		gone(t, r.run(time.Second, totals(0)))
+	}
+	for _, answer := range []logic.Outcome{logic.Pass, logic.Full, logic.TimedOut, -1} {
+		set := settings()
+		set.Plans[0].OverCost = 1
+		r := newRig(t, set, 8)
+		id, held := "", false
+		for i := 0; i < 100 && !held; i++ { // a part of the tries calls
+			id = fmt.Sprintf("%016x", i)
+			as := r.step(logic.Arrived{ID: id, Customer: uint64(i), Patience: 2 * time.Second, Units: 1, Spread: 60})
+			held = has[logic.Count](as) && len(sent(as)) == 0
+			for _, s := range sent(as) {
+				r.pass(id, s)
+			}
+		}
+		if !held {
+			t.Fatal("no try is held for the counter")
+		}
+		gone(t, r.step(logic.Left{ID: id}))
+		reply := func(c logic.Count) logic.Counted {
+			return logic.Counted{Name: c.Name, Outcome: answer, Total: max(c.Units, 0)}
+		}
+		if answer < 0 {
+			reply = nil
+		}
+		gone(t, r.run(5*time.Second, reply))
+	}
+}
