--- a/logic/logic.go
+++ b/logic/logic.go
@@ -573,7 +573,7 @@
 // do. Many gateways that know nothing yet, or whose clients all come again, send far more than that.
 func (g *Gateway) successRatio(servers int) float64 {
 	g.note(0, 0)
-	blind := min(noteFew, blindSends*float64(servers)/float64(g.set.Gateways))
+	blind := blindSends * float64(servers) / float64(g.set.Gateways)
 	return min(1, (overServed*g.served+blind)/max(g.begun, 1))
 }
 
