--- a/logic/logic.go
+++ b/logic/logic.go
@@ -797,7 +797,7 @@
 		g.note(1, float64(1-min(outcome, 1)))
 	}
 	if outcome != Pass && outcome != TimedOut && outcome != Full {
-		g.begun = max(g.begun-1, 0) // what breaks, fails or was cancelled tells nothing of what servers can do
+		g.begun = max(g.begun-1, 0) // what breaks or is cancelled tells nothing of what servers can do
 	}
 	switch {
 	case outcome == Pass:
