--- a/logic/logic.go
+++ b/logic/logic.go
@@ -573,7 +573,7 @@
 // do. Many gateways that know nothing yet, or whose clients all come again, send far more than that.
 func (g *Gateway) successRatio(servers int) float64 {
 	g.note(0, 0)
-	blind := min(noteFew, blindSends*float64(servers)/float64(g.set.Gateways))
+	blind := blindSends * float64(servers) / float64(g.set.Gateways)
 	return min(1, (overServed*g.served+blind)/max(g.begun, 1))
 }
 
@@ -796,6 +796,9 @@
 	if outcome == Pass || outcome == TimedOut || outcome == NoRoute {
 		g.note(1, float64(1-min(outcome, 1)))
 	}
+	if outcome != Pass && outcome != TimedOut && outcome != Full {
+		g.begun = max(g.begun-1, 0) // what breaks, fails or was cancelled tells nothing of what servers can do
+	}
 	switch {
 	case outcome == Pass:
 		g.slotSeen[r.class]++
