--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -1,10 +1,11 @@
 package node
 
 import (
-	"container/heap"
 	"fmt"
 	"testing"
 	"time"
+
+	"fawnrelay/internal/simclock"
 )
 
 // The tests of this file play a whole fleet's calls to discovery in simulated time.
@@ -22,46 +23,6 @@
 	carriesOn     = 200 * time.Millisecond // a watch goes on if the next call comes by then
 )
 
-// clock runs what is due in simulated time.
-type clock struct {
-	now   time.Duration
-	due   []event
-	count int
-}
-
-type event struct {
-	at  time.Duration
-	nth int // keeps the order of those due at once
-	do  func()
-}
-
-func (c *clock) Len() int { return len(c.due) }
-func (c *clock) Less(i, j int) bool {
-	return c.due[i].at < c.due[j].at || c.due[i].at == c.due[j].at && c.due[i].nth < c.due[j].nth
-}
-func (c *clock) Swap(i, j int) { c.due[i], c.due[j] = c.due[j], c.due[i] }
-func (c *clock) Push(x any)    { c.due = append(c.due, x.(event)) }
-func (c *clock) Pop() any {
-	e := c.due[len(c.due)-1]
-	c.due = c.due[:len(c.due)-1]
-	return e
-}
-
-func (c *clock) after(d time.Duration, do func()) {
-	c.count++
-	heap.Push(c, event{c.now + d, c.count, do})
-}
-
-func (c *clock) run(d time.Duration) {
-	end := c.now + d
-	for len(c.due) > 0 && c.due[0].at <= end {
-		e := heap.Pop(c).(event)
-		c.now = e.at
-		e.do()
-	}
-	c.now = end
-}
-
 // serviceState is what becomes of the calls.
 type serviceState int
 
@@ -75,7 +36,7 @@
 // service is discovery: one that works on the calls of all nodes in turn, on those that
 // nobody waits for any more as well, or an agent that answers each node at once.
 type service struct {
-	*clock
+	*simclock.Clock
 	addr       string
 	each, most time.Duration // for a call; what would wait longer is turned away after that
 	state      serviceState
@@ -110,7 +71,7 @@
 	s.state, s.watches = state, nil
 }
 
-func (s *service) line() time.Duration { return max(s.idleAt-s.now, 0) }
+func (s *service) line() time.Duration { return max(s.idleAt-s.Now, 0) }
 
 // take takes a call that is to be held for a while.
 func (s *service) take(c *watchCall, carriesOn bool, held time.Duration) {
@@ -118,18 +79,18 @@
 	case s.state == serviceSilent:
 		return
 	case s.state != serviceUp:
-		s.after(0, func() { c.asker.fail(c) })
+		s.After(0, func() { c.asker.fail(c) })
 		return
 	case carriesOn:
 		s.hold(c, held)
 		return
 	case s.line() > s.most:
-		s.after(s.most, func() { c.asker.fail(c) })
+		s.After(s.most, func() { c.asker.fail(c) })
 		return
 	}
-	s.idleAt = max(s.idleAt, s.now) + s.each
+	s.idleAt = max(s.idleAt, s.Now) + s.each
 	s.longest = max(s.longest, s.line())
-	s.after(s.line(), func() {
+	s.After(s.line(), func() {
 		if s.state == serviceUp {
 			s.hold(c, held)
 		}
@@ -142,7 +103,7 @@
 		return
 	}
 	s.watches = append(s.watches, c)
-	s.after(held, func() {
+	s.After(held, func() {
 		for i, w := range s.watches {
 			if w == c {
 				s.watches = append(s.watches[:i:i], s.watches[i+1:]...)
@@ -157,7 +118,7 @@
 
 // asker is a node of which only the calls to discovery are played.
 type asker struct {
-	*clock
+	*simclock.Clock
 	plan     *watchPlan
 	services map[string]*service
 	addr     string
@@ -177,16 +138,16 @@
 		return
 	}
 	a.calls++
-	a.began = a.now
+	a.began = a.Now
 	c := &watchCall{asker: a, token: token, index: a.plan.index, whole: a.plan.whole}
-	a.after(a.plan.patience, func() { a.fail(c) })
-	a.services[a.addr].take(c, a.now-a.last <= carriesOn, a.plan.held)
+	a.After(a.plan.patience, func() { a.fail(c) })
+	a.services[a.addr].take(c, a.Now-a.last <= carriesOn, a.plan.held)
 }
 
 func (a *asker) pause(d time.Duration) {
 	a.token++
 	token := a.token
-	a.after(d, func() {
+	a.After(d, func() {
 		if token == a.token {
 			a.step()
 		}
@@ -196,7 +157,7 @@
 func (a *asker) fail(c *watchCall) {
 	if c.token == a.token {
 		a.last = -carriesOn - 1 // another connection, another watch
-		a.pause(a.plan.failed(a.now - a.began))
+		a.pause(a.plan.failed(a.Now - a.began))
 	}
 }
 
@@ -204,12 +165,12 @@
 	if c.token != a.token {
 		return // nobody waits for it
 	}
-	a.last, a.ready = a.now, true
+	a.last, a.ready = a.Now, true
 	for g := c.index + 1; g <= generation; g++ {
-		a.told[fmt.Sprint(addr, g)] = a.now
+		a.told[fmt.Sprint(addr, g)] = a.Now
 	}
 	if c.whole {
-		a.told[fmt.Sprint(addr, generation)] = a.now
+		a.told[fmt.Sprint(addr, generation)] = a.Now
 	}
 	a.plan.answered(generation)
 	a.step()
@@ -218,13 +179,13 @@
 // move takes the node to another address, whatever it waits for.
 func (a *asker) move(addr string) {
 	a.addr = addr
-	a.plan.failed(a.now - a.began) // the call is called off
+	a.plan.failed(a.Now - a.began) // the call is called off
 	a.pause(0)
 }
 
 // watchWorld is a fleet before its discovery, and another one to which it may move.
 type watchWorld struct {
-	clock
+	simclock.Clock
 	before, after *service
 	fleet         []*asker
 }
@@ -233,8 +194,8 @@
 func newWatchWorld(t *testing.T, mode string, line time.Duration, known bool, state serviceState) *watchWorld {
 	t.Helper()
 	w := &watchWorld{}
-	w.before = &service{clock: &w.clock, addr: "before", most: line, generation: 1, state: state}
-	w.after = &service{clock: &w.clock, addr: "after", most: line, generation: 1}
+	w.before = &service{Clock: &w.Clock, addr: "before", most: line, generation: 1, state: state}
+	w.after = &service{Clock: &w.Clock, addr: "after", most: line, generation: 1}
 	if mode == "ask" {
 		w.before.each, w.after.each = watchEachCall, watchEachCall
 	}
@@ -246,7 +207,7 @@
 		list = List{Generation: 1, Instances: []Instance{{ID: "s-0", Lifecycle: "SERVING"}}}
 	}
 	for i := range uint64(watchFleet) {
-		a := &asker{clock: &w.clock, plan: newWatchPlan(newWatchTimes(set), i, list), services: services, addr: "before",
+		a := &asker{Clock: &w.Clock, plan: newWatchPlan(newWatchTimes(set), i, list), services: services, addr: "before",
 			last: -carriesOn - 1, told: map[string]time.Duration{}}
 		w.fleet = append(w.fleet, a)
 		a.pause(0)
@@ -269,7 +230,7 @@
 	for _, a := range w.fleet {
 		at, ok := a.told[fmt.Sprint(addr, generation)]
 		if !ok {
-			at = w.now
+			at = w.Now
 		}
 		if !ok || at-since > toldAfter {
 			late++
@@ -288,7 +249,7 @@
 	outage := func(state serviceState, lasts time.Duration) func(*watchWorld) (string, int64) {
 		return func(w *watchWorld) (string, int64) {
 			w.before.become(state)
-			w.run(lasts)
+			w.Run(lasts)
 			w.before.become(serviceUp)
 			return "before", w.before.change()
 		}
@@ -307,7 +268,7 @@
 		{"silence", outage(serviceUp, 0)},
 		{"silence in step", func(w *watchWorld) (string, int64) {
 			w.before.change() // all watches begin anew
-			w.run(100 * time.Millisecond)
+			w.Run(100 * time.Millisecond)
 			w.before.become(serviceUp)
 			return "before", w.before.change()
 		}},
@@ -319,7 +280,7 @@
 		{"move", moves},
 		{"move while hung", func(w *watchWorld) (string, int64) {
 			w.before.become(serviceSilent)
-			w.run(down)
+			w.Run(down)
 			return moves(w)
 		}},
 	}
@@ -328,14 +289,14 @@
 			t.Run(v.name+"/"+e.name, func(t *testing.T) {
 				w := newWatchWorld(t, v.mode, v.line, true, serviceUp)
 				w.before.change() // which the nodes do not know of
-				w.run(2 * toldAfter)
+				w.Run(2 * toldAfter)
 				late, longest := w.untold("before", 2, 0)
 				if late > 0 {
 					t.Errorf("start: %d nodes are told late, the last after %v", late, longest)
 				}
 				addr, generation := e.event(w)
-				since := w.now
-				w.run(2 * toldAfter)
+				since := w.Now
+				w.Run(2 * toldAfter)
 				late, longest = w.untold(addr, generation, since)
 				if late > 0 {
 					t.Errorf("%d nodes are told late, the last after %v", late, longest)
@@ -364,9 +325,9 @@
 						state = serviceSilent
 					}
 					w := newWatchWorld(t, v.mode, v.line, known, state)
-					w.run(down)
+					w.Run(down)
 					w.before.become(serviceUp)
-					w.run(max(within-down, toldAfter))
+					w.Run(max(within-down, toldAfter))
 					answered, ready := 0, 0
 					for _, a := range w.fleet {
 						if a.ready {
--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -1,7 +1,6 @@
 package logic_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"testing"
 	"time"
 
+	"fawnrelay/internal/simclock"
 	"fawnrelay/logic"
 )
 
@@ -25,12 +25,10 @@
 
 // world is a fleet before its servers, in simulated time.
 type world struct {
+	simclock.Clock
 	t       *testing.T
 	rng     *rand.Rand
 	set     logic.Settings
-	now     time.Duration
-	due     dueHeap
-	nth     int
 	rigs    []*gateway
 	weights []float64 // of the traffic, added up, by gateway
 	servers map[string]*backend
@@ -40,40 +38,6 @@
 	served  int
 }
 
-type dueAt struct {
-	at  time.Duration
-	nth int
-	do  func()
-}
-
-type dueHeap []dueAt
-
-func (h dueHeap) Len() int { return len(h) }
-func (h dueHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].nth < h[j].nth
-}
-func (h dueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *dueHeap) Push(x any)   { *h = append(*h, x.(dueAt)) }
-func (h *dueHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
-func (w *world) after(d time.Duration, do func()) {
-	w.nth++
-	heap.Push(&w.due, dueAt{w.now + d, w.nth, do})
-}
-
-func (w *world) run(until time.Duration) {
-	for len(w.due) > 0 && w.due[0].at <= until {
-		e := heap.Pop(&w.due).(dueAt)
-		w.now = e.at
-		e.do()
-	}
-	w.now = until
-}
-
 // backend is a server that works on its requests in turn, as fast as it is warm. What is
 // not begun in its time is not begun at all.
 type backend struct {
@@ -116,16 +80,16 @@
 
 func (r *gateway) step(ev logic.Event) {
 	life := r.life
-	for _, a := range r.g.Step(r.w.now, ev, nil) {
+	for _, a := range r.g.Step(r.w.Now, ev, nil) {
 		switch a := a.(type) {
 		case logic.Wake:
-			r.w.after(a.After, func() {
+			r.w.After(a.After, func() {
 				if r.life == life {
 					r.step(logic.Woke{Cookie: a.Cookie})
 				}
 			})
 		case logic.Count: // nobody else asks for this customer's units
-			r.w.after(ms, func() {
+			r.w.After(ms, func() {
 				if r.life == life {
 					r.step(logic.Counted{Name: a.Name, Total: max(a.Units, 0)})
 				}
@@ -154,7 +118,7 @@
 	if served {
 		r.w.served++
 	} else if q.left > 0 {
-		r.w.after(coldTrip, func() { r.w.arrive(q.left - 1) })
+		r.w.After(coldTrip, func() { r.w.arrive(q.left - 1) })
 	}
 }
 
@@ -166,17 +130,17 @@
 	if o == logic.Pass {
 		r.final(q.id, true)
 	}
-	r.step(logic.Ended{ID: q.id, Attempt: k, Server: q.servers[k], Outcome: o, Lag: r.w.now - q.sent[k], Over: q.over,
+	r.step(logic.Ended{ID: q.id, Attempt: k, Server: q.servers[k], Outcome: o, Lag: r.w.Now - q.sent[k], Over: q.over,
 		Report: logic.Report{Busy: &busy}})
 }
 
 func (r *gateway) send(a logic.Send) {
 	w, q, b := r.w, r.open[a.ID], r.w.servers[a.Server]
 	k := len(q.sent)
-	q.sent, q.servers, q.ended = append(q.sent, w.now), append(q.servers, a.Server), append(q.ended, false)
+	q.sent, q.servers, q.ended = append(q.sent, w.Now), append(q.servers, a.Server), append(q.ended, false)
 	until := q.until
 	if a.Timeout > 0 {
-		until = min(until, w.now+a.Timeout)
+		until = min(until, w.Now+a.Timeout)
 	}
 	life := r.life
 	end := func(o logic.Outcome) {
@@ -184,30 +148,30 @@
 			r.end(q, k, o, b.busy)
 		}
 	}
-	w.after(until-w.now, func() { end(logic.TimedOut) })
-	w.after(coldTrip, func() {
+	w.After(until-w.Now, func() { end(logic.TimedOut) })
+	w.After(coldTrip, func() {
 		if b.lost {
 			return
 		}
-		b.got = append(b.got, w.now)
+		b.got = append(b.got, w.Now)
 		if b.waiting >= coldRoom {
-			w.after(coldTrip, func() { end(logic.Full) })
+			w.After(coldTrip, func() { end(logic.Full) })
 			return
 		}
 		b.waiting++
-		begin := max(b.idleAt, w.now)
+		begin := max(b.idleAt, w.Now)
 		if begin >= until { // its time will be over
-			w.after(begin-w.now, func() { b.waiting-- })
+			w.After(begin-w.Now, func() { b.waiting-- })
 			return
 		}
 		work := time.Duration(w.rng.ExpFloat64() / (coldCapacity * b.warmth(begin)) * float64(time.Second))
 		b.idleAt = begin + work
-		w.after(b.idleAt-w.now, func() {
+		w.After(b.idleAt-w.Now, func() {
 			b.waiting--
-			fade := math.Exp(-(w.now - b.busyAt).Seconds())
-			b.busy, b.busyAt = min(b.busy*fade+work.Seconds(), 1), w.now
+			fade := math.Exp(-(w.Now - b.busyAt).Seconds())
+			b.busy, b.busyAt = min(b.busy*fade+work.Seconds(), 1), w.Now
 			if !b.lost {
-				w.after(coldTrip, func() { end(logic.Pass) })
+				w.After(coldTrip, func() { end(logic.Pass) })
 			}
 		})
 	})
@@ -220,14 +184,14 @@
 	r := w.rigs[i]
 	w.tries++
 	life := r.life
-	q := &clientTry{id: fmt.Sprintf("%016x", w.tries), left: left, until: w.now + 2500*ms}
+	q := &clientTry{id: fmt.Sprintf("%016x", w.tries), left: left, until: w.Now + 2500*ms}
 	r.open[q.id] = q
-	w.after(2500*ms, func() {
+	w.After(2500*ms, func() {
 		if r.life == life && !q.over {
 			q.over = true
 			r.step(logic.Left{ID: q.id})
 		}
-		w.after(time.Second, func() { delete(r.open, q.id) })
+		w.After(time.Second, func() { delete(r.open, q.id) })
 	})
 	r.step(logic.Arrived{ID: q.id, Plan: 1, Customer: uint64(i)<<8 | uint64(w.tries%5), Patience: 2500 * ms, Units: 1, Spread: 1})
 }
@@ -235,8 +199,8 @@
 // offer brings tries, rate a second, until a time.
 func (w *world) offer(rate float64, until time.Duration, left int) {
 	gap := time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
-	if w.now+gap < until {
-		w.after(gap, func() {
+	if w.Now+gap < until {
+		w.After(gap, func() {
 			w.arrive(left)
 			w.offer(rate, until, left)
 		})
@@ -247,7 +211,7 @@
 func (w *world) tell(scope logic.ListScope, servers ...logic.Server) {
 	for _, r := range w.rigs {
 		life := r.life
-		w.after(time.Duration(w.rng.Float64()*float64(time.Second)), func() {
+		w.After(time.Duration(w.rng.Float64()*float64(time.Second)), func() {
 			if r.life == life {
 				r.step(logic.ServersChanged{Scope: scope, Servers: servers})
 			}
@@ -274,7 +238,7 @@
 
 // restart gives a server's id a new process.
 func (w *world) restart(b *backend) logic.Server {
-	b.lost, b.Born, b.idleAt, b.got, b.State = false, w.now, w.now, nil, logic.Serving
+	b.lost, b.Born, b.idleAt, b.got, b.State = false, w.Now, w.Now, nil, logic.Serving
 	return b.Server
 }
 
@@ -282,7 +246,7 @@
 func (r *gateway) start(rank int) {
 	set := r.w.set
 	set.Rank, set.Seed = rank, uint64(rank+1000*r.life+1)
-	g, err := logic.New(r.w.now, set)
+	g, err := logic.New(r.w.Now, set)
 	if err != nil {
 		r.w.t.Fatal(err)
 	}
@@ -349,7 +313,7 @@
 	join := func(w *world, k int) {
 		var news []logic.Server
 		for i := range k {
-			news = append(news, w.add(fmt.Sprint("new", i), w.now))
+			news = append(news, w.add(fmt.Sprint("new", i), w.Now))
 		}
 		w.tell(logic.ListPartial, news...)
 	}
@@ -361,7 +325,7 @@
 				gone, news = append(gone, b), append(news, b.Server)
 			}
 		}
-		w.after(2*time.Second, func() { w.tell(logic.ListPartial, news...) })
+		w.After(2*time.Second, func() { w.tell(logic.ListPartial, news...) })
 		return gone
 	}
 	back := func(w *world, gone []*backend) {
@@ -382,14 +346,14 @@
 		{"one joins under a burst", 1.6 * usual, 0, false, func(w *world) { join(w, 1) }},
 		{"a zone back all cold", usual, 0, false, func(w *world) {
 			gone := lose(w, func(i int) bool { return i%3 == 0 })
-			w.after(5*time.Second, func() { back(w, gone) })
+			w.After(5*time.Second, func() { back(w, gone) })
 		}},
 		{"six in ten replaced", usual, 0, false, func(w *world) {
 			for i := range coldServers * 6 / 10 {
-				w.after(time.Duration(i)*7*time.Second/(coldServers*6/10), func() {
+				w.After(time.Duration(i)*7*time.Second/(coldServers*6/10), func() {
 					old := w.order[i]
 					old.State = logic.Draining
-					w.tell(logic.ListPartial, old.Server, w.add(fmt.Sprint("new", i), w.now))
+					w.tell(logic.ListPartial, old.Server, w.add(fmt.Sprint("new", i), w.Now))
 				})
 			}
 		}},
@@ -404,7 +368,7 @@
 		{"repeated at once", 1.3 * usual, 2, false, func(w *world) { join(w, 3) }},
 		{"few warm ones left", usual, 0, false, func(w *world) {
 			gone := lose(w, func(i int) bool { return i%6 != 0 })
-			w.after(3*time.Second, func() { back(w, gone) })
+			w.After(3*time.Second, func() { back(w, gone) })
 		}},
 		{"few warm ones left, all gateways restarted, repeated at once", 1.3 * usual, 2, true, func(w *world) {
 			back(w, lose(w, func(i int) bool { return i%6 != 0 }))
@@ -423,9 +387,9 @@
 					t.Parallel()
 					w := newWorld(t, gateways, uneven)
 					w.offer(c.rate, coldEnd, c.left)
-					w.run(coldAt)
+					w.Run(coldAt)
 					c.event(w)
-					w.run(coldEnd)
+					w.Run(coldEnd - w.Now)
 					near := w.nearest()
 					t.Logf("nearest approach %.2f of the bound, %d of %d tries served", near, w.served, w.tries)
 					if near == 0 {
