--- a/internal/knownred/judge.go
+++ b/internal/knownred/judge.go
@@ -69,7 +69,7 @@
 	var why []error
 	tests := map[[2]string]verdict{} // by package and test, subtests left out
 	packages := map[string]verdict{}
-	said := map[[2]string]*strings.Builder{} // what tests said, subtests with theirs, until they end
+	said := map[[2]string]string{} // what tests said, subtests with theirs, until they end
 	lines := bufio.NewScanner(events)
 	lines.Buffer(nil, lineMost)
 	for lines.Scan() {
@@ -83,11 +83,8 @@
 		key := [2]string{e.Package, name}
 		if name == "" {
 			io.WriteString(out, e.Output)
-		} else if said[key] == nil {
-			said[key] = &strings.Builder{}
-		}
-		if name != "" {
-			said[key].WriteString(e.Output)
+		} else {
+			said[key] += e.Output
 		}
 		for _, b := range broken {
 			if strings.HasPrefix(e.Output, b) {
@@ -109,7 +106,7 @@
 			}
 			tests[key] = v
 			if v == failed {
-				io.WriteString(out, said[key].String())
+				io.WriteString(out, said[key])
 			}
 			if v != running {
 				delete(said, key)
@@ -120,7 +117,7 @@
 		why = append(why, fmt.Errorf("reading the events: %w", err))
 	}
 	for _, text := range said { // of tests that never ended
-		io.WriteString(out, text.String())
+		io.WriteString(out, text)
 	}
 	if len(tests) == 0 {
 		why = append(why, errors.New("no test has run"))
