Review, case 2: whole answers without a length are never forwarded

Cause: a response of a booking server with neither Content-Length nor chunked encoding counts as a lost connection before its body is read.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 // cases are the cases by their names. A case reports whether the rule held.
 var cases = map[string]func(*fleet) (held bool, err error){
 	"closed-in-request": closedInRequest,
+	"without-length":    withoutLength,
 }
 
 func main() {
