Review, case 3: a share of the hard limit is spent twice after a restart

Cause: a run of an edge node takes itself for the first one if the counter holds no record of an earlier run, also if the counter has lost that record, and then uses the burst of its hard limit shares at once.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -43,8 +43,8 @@
 	return 2500 * time.Millisecond
 }
 
-// requestText returns the text of a client's request of one unit.
-func requestText(class, id string, customer int) string {
+// requestText returns the text of a client's request that takes some units.
+func requestText(class, id string, customer, units int) string {
 	method, length, body := http.MethodGet, "", ""
 	if class == bookLesson {
 		method = http.MethodPost
@@ -52,8 +52,8 @@
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	return fmt.Sprintf("%s /%s/x?week=49 HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\n"+
-		"Api-Plan: institutional\r\nApi-Customer: %016x\r\nX-Expires-In-Ms: %d\r\n%sApi-Terms: units=1,spread=%d,first=0\r\n\r\n%s",
-		method, class, id, class, customer, deadlineOf(class).Milliseconds(), length, gateways, body)
+		"Api-Plan: institutional\r\nApi-Customer: %016x\r\nX-Expires-In-Ms: %d\r\n%sApi-Terms: units=%d,spread=%d,first=0\r\n\r\n%s",
+		method, class, id, class, customer, deadlineOf(class).Milliseconds(), length, units, gateways, body)
 }
 
 // clientConn is a client's connection to an edge node.
@@ -89,9 +89,9 @@
 	return answer{status: resp.StatusCode, body: string(body), keep: !resp.Close}, err
 }
 
-// roundTrip sends a request and reads the answer.
-func (c *clientConn) roundTrip(class, id string, customer int) (answer, error) {
-	if _, err := io.WriteString(c, requestText(class, id, customer)); err != nil {
+// roundTrip sends a request that takes some units and reads the answer.
+func (c *clientConn) roundTrip(class, id string, customer, units int) (answer, error) {
+	if _, err := io.WriteString(c, requestText(class, id, customer, units)); err != nil {
 		return answer{}, err
 	}
 	return c.readAnswer(class)
--- a/review/standin/closedinrequest.go
+++ b/review/standin/closedinrequest.go
@@ -50,7 +50,7 @@
 func closedInRequest(f *fleet) (held bool, err error) {
 	respond := func(conn net.Conn, x *execution) bool {
 		work(x.class)
-		return writeWithLength(conn, x.body()) == nil
+		return writeWithLength(conn, x) == nil
 	}
 	if err := f.start(processLimits{Cores: 1, MemoryMB: 64, Sockets: 256}, respond); err != nil {
 		return false, err
@@ -103,7 +103,7 @@
 	conn, err := dialNode(n.address)
 	if err == nil {
 		defer conn.Close()
-		_, err = conn.roundTrip(timetableRead, newID(), customer)
+		_, err = conn.roundTrip(timetableRead, newID(), customer, 1)
 	}
 	ready.Done()
 	if err != nil {
@@ -115,7 +115,7 @@
 	if index%4 == 0 {
 		class = timetableRead
 	}
-	text := requestText(class, id, customer)
+	text := requestText(class, id, customer, 1)
 	half := len(text) / 2
 	f.record.printf("client writes the first half of %s %s to edge node %d", class, id, n.rank)
 	io.WriteString(conn, text[:half])
@@ -146,7 +146,7 @@
 	conn, err := dialNode(n.address)
 	if err == nil {
 		defer conn.Close()
-		_, err = conn.roundTrip(class, id, customer)
+		_, err = conn.roundTrip(class, id, customer, 1)
 	}
 	f.record.printf("%s %s sent once more: error %v", class, id, err)
 	return err == nil
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -35,10 +35,12 @@
 	dir     string // temporary folder for configurations and logs
 	record  *record
 	trouble bool // the disruption takes place
-	counter *counter
-	servers []*server
-	agents  []*discovery
-	nodes   []*node
+	// editSettings changes the settings of the edge nodes; nil: not.
+	editSettings func(map[string]any)
+	counter      *counter
+	servers      []*server
+	agents       []*discovery
+	nodes        []*node
 }
 
 // newFleet returns a fleet without servers and nodes.
@@ -80,6 +82,9 @@
 		f.agents = append(f.agents, agent)
 		n := &node{rank: rank, address: freeAddress(), discovery: agent.address(), counter: f.counter.address(),
 			known: instances, limits: limits, settings: settings(rank)}
+		if f.editSettings != nil {
+			f.editSettings(n.settings)
+		}
 		if err := n.start(f.root, f.dir); err != nil {
 			return err
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*fleet) (held bool, err error){
 	"closed-in-request": closedInRequest,
 	"without-length":    withoutLength,
+	"ceiling":           ceilingAfterRestart,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -17,6 +18,7 @@
 	server string // id of the booking server
 	id     string // of the request
 	class  string
+	charge string // the true units, told with the answer; unless changed, those that the request names
 }
 
 // body returns the body of the answer, which no other execution has.
@@ -64,7 +66,8 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		x := &execution{number: executions.Add(1), server: s.id, id: req.Header.Get("X-Trace-Id"), class: classOfPath(req.URL.Path)}
+		x := &execution{number: executions.Add(1), server: s.id, id: req.Header.Get("X-Trace-Id"), class: classOfPath(req.URL.Path),
+			charge: unitsOf(req.Header.Get("Api-Terms"))}
 		s.record.printf("%s runs %s %s as execution %d", s.id, x.class, x.id, x.number)
 		if !s.respond(conn, x) {
 			return
@@ -81,14 +84,23 @@
 	time.Sleep(shortest + time.Duration(rand.Int64N(int64(longest-shortest))))
 }
 
+// unitsOf returns the units in the terms of a request.
+func unitsOf(terms string) string {
+	units, _, _ := strings.Cut(strings.TrimPrefix(terms, "units="), ",")
+	return units
+}
+
 // writeWithLength writes an answer with a length.
-func writeWithLength(conn net.Conn, body string) error {
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nApi-Charge: 1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+func writeWithLength(conn net.Conn, x *execution) error {
+	body := x.body()
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nApi-Charge: %s\r\nContent-Length: %d\r\n\r\n%s",
+		x.charge, len(body), body)
 	return err
 }
 
 // writeWithoutLength writes an answer without a length; the end of the connection is its end.
-func writeWithoutLength(conn net.Conn, body string) error {
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nApi-Charge: 1\r\nConnection: close\r\n\r\n%s", body)
+func writeWithoutLength(conn net.Conn, x *execution) error {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nApi-Charge: %s\r\nConnection: close\r\n\r\n%s",
+		x.charge, x.body())
 	return err
 }
--- a/review/standin/withoutlength.go
+++ b/review/standin/withoutlength.go
@@ -48,9 +48,9 @@
 		work(x.class)
 		if !f.trouble || rand.Float64() >= noLengthShare {
 			written.add(x, true)
-			return writeWithLength(conn, x.body()) == nil
+			return writeWithLength(conn, x) == nil
 		}
-		if err := writeWithoutLength(conn, x.body()); err == nil {
+		if err := writeWithoutLength(conn, x); err == nil {
 			f.record.printf("execution %d of %s: whole answer without a length", x.number, x.id)
 			written.add(x, false)
 		}
@@ -71,10 +71,7 @@
 	var clients sync.WaitGroup
 	var mu sync.Mutex
 	answers := map[string]answer{}
-	pools := make([]*connPool, gateways)
-	for i, n := range f.nodes {
-		pools[i] = &connPool{address: n.address}
-	}
+	pools := f.connPools()
 	ticker := time.NewTicker(requestInterval)
 	defer ticker.Stop()
 	for i := range int(loadDuration / requestInterval) {
@@ -84,7 +81,7 @@
 			if rand.Float64() < lessonShare {
 				class = bookLesson
 			}
-			got, err := pools[i%gateways].send(class, id, rand.IntN(customers))
+			got, err := pools[i%gateways].send(class, id, rand.IntN(customers), 1)
 			f.record.printf("client: %s %s through edge node %d: %d %q, error %v", class, id, i%gateways, got.status, got.body, err)
 			mu.Lock()
 			defer mu.Unlock()
@@ -128,45 +125,3 @@
 	}
 	return 2*forwarded >= whole, nil
 }
-
-// connPool keeps the clients' connections to one edge node.
-type connPool struct {
-	address string
-	mu      sync.Mutex
-	idle    []*clientConn
-}
-
-// send sends a request on an idle connection, or on a new one if all are busy.
-func (p *connPool) send(class, id string, customer int) (answer, error) {
-	conn := p.take()
-	if conn == nil {
-		var err error
-		if conn, err = dialNode(p.address); err != nil {
-			return answer{}, err
-		}
-	}
-	got, err := conn.roundTrip(class, id, customer)
-	if err != nil || !got.keep {
-		conn.Close()
-		return got, err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle = append(p.idle, conn)
-	return got, nil
-}
-
-// take returns an idle connection that is still open, or nil.
-func (p *connPool) take() *clientConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		conn := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if conn.isOpen() {
-			return conn
-		}
-		conn.Close()
-	}
-	return nil
-}
