frontend: never end a client connection in the middle of a request to make room

What callers saw: at the limit on client connections, kept connections were closed between the pieces of a request or after its last byte, with no answer.

Cause: Tracker.evictFor took every connection for idle on which no complete request was accepted (busy). From the first byte read until Conn.AcceptRequest, which comes after net/http and the parser have read all of it, a request did not count; and its connection had the longest idle time, that since its last answer. AcceptRequest then found the connection closed and dropped the request.

Change: a connection is idle only while no byte of a request was read on it and the kernel holds none. If no connection is idle, the oldest one that is receiving its first request gets a read deadline in the past instead of a close: net/http then ends it, unless the request is complete, which the disconnect check or AcceptRequest shows and which cancels the eviction. The same path had the same fault at the end of a shutdown: the final read deadline could pass between the last byte and AcceptRequest, and the disconnect check took that for a disconnect of the client. Both deadlines now stay apart from net/http's.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -12,10 +14,11 @@
 
 // Conn is a client's connection, accepted by a [Server] and registered with its [Tracker].
 //
-// The node closes a connection of its own accord only while no complete request on it is
-// in flight, and reads nothing from it afterwards. So a request that the client sends just
-// as the connection closes is either served or was never read; in the latter case the
-// client sends it again.
+// The node closes a connection of its own accord only between requests, while no byte of the
+// next one was read, and reads nothing from it afterwards. So a request that the client sends
+// just as the connection closes is either served or was never read; in the latter case the
+// client sends it again. The exception is a connection whose first request is only partly
+// received: the node may stop reading it, see [Tracker.evictFor].
 type Conn struct {
 	net.Conn
 	tracker *Tracker
@@ -28,10 +31,14 @@
 
 	idleSince          time.Time // when the connection was accepted or its last request was answered
 	idle               bool      // the last request is answered, and no byte of the next one was read
+	requestStarted     bool      // part of a request was read that is not accepted yet
 	nextRequestStarted bool      // part of the next request was read while one was in flight
 	hasSentRequest     bool      // the client has sent at least one complete request
 	busy               bool      // a complete request is in flight
 	closedLocally      bool      // the node closed the connection between requests
+	evicting           bool      // the connection is to end, unless the request on it is complete
+	serverDeadline     time.Time // read deadline set by net/http; zero: none
+	stopReadingAt      time.Time // read deadline set by the tracker; zero: none
 }
 
 func newConn(conn net.Conn, tracker *Tracker) *Conn {
@@ -51,7 +58,13 @@
 // Read implements [net.Conn]; net/http calls it. Once the node has closed the connection,
 // Read returns [io.EOF] even if data has arrived in the meantime.
 func (c *Conn) Read(b []byte) (int, error) {
+	// While a request is in flight, net/http reads one byte to detect that the client
+	// disconnects. Once it has got a byte it stops, and the read-ahead takes over.
+	isDisconnectCheck := len(b) == 1
 	count, err := c.read(b)
+	for isDisconnectCheck && errors.Is(err, os.ErrDeadlineExceeded) && c.resumeReading() {
+		count, err = c.read(b)
+	}
 	if count == 0 {
 		return 0, err
 	}
@@ -61,9 +74,8 @@
 		return 0, io.EOF
 	}
 	c.idle = false
-	// While a request is in flight, net/http reads one byte to detect that the client
-	// disconnects. Once it has got a byte it stops, and the read-ahead takes over.
-	if len(b) == 1 {
+	c.requestStarted = true
+	if isDisconnectCheck {
 		c.nextRequestStarted = true
 		if c.readAhead.Load() == nil {
 			c.readAhead.Store(newReadAhead(c.Conn, c.tracker.memory, c.disconnected))
@@ -80,8 +92,42 @@
 	return c.Conn.Read(b)
 }
 
-// SetReadDeadline implements [net.Conn].
+// SetReadDeadline implements [net.Conn]; net/http calls it. A deadline of the tracker stays
+// in force beside it.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.serverDeadline = deadline
+	return c.applyReadDeadline()
+}
+
+// stopReading sets the time at which reading ends, unless a complete request has been read by
+// then. The tracker's lock is held.
+func (c *Conn) stopReading(at time.Time) {
+	c.stopReadingAt = at
+	c.applyReadDeadline() // an error means that the connection is closed
+}
+
+// resumeReading removes the tracker's deadline, because the request is complete, and cancels
+// an eviction. It reports whether there was a deadline.
+func (c *Conn) resumeReading() bool {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if c.stopReadingAt.IsZero() {
+		return false
+	}
+	c.tracker.cancelEviction(c)
+	c.stopReading(time.Time{})
+	return true
+}
+
+// applyReadDeadline sets the earlier one of the deadlines of net/http and the tracker. The
+// tracker's lock is held.
+func (c *Conn) applyReadDeadline() error {
+	deadline := c.serverDeadline
+	if !c.stopReadingAt.IsZero() && (deadline.IsZero() || c.stopReadingAt.Before(deadline)) {
+		deadline = c.stopReadingAt
+	}
 	if ahead := c.readAhead.Load(); ahead != nil {
 		return ahead.setReadDeadline(deadline)
 	}
@@ -133,13 +179,16 @@
 		return false
 	}
 	c.hasSentRequest = true
+	c.requestStarted = false
 	c.busy = true
 	c.nextRequestStarted = false
-	if c.tracker.draining || c.readAhead.Load() != nil {
-		// StopReading, or net/http while it read the head, may have set a read deadline. Once
-		// it passes, the read would fail as if the client had disconnected, or the
-		// read-ahead would stop.
-		c.SetReadDeadline(time.Time{})
+	c.tracker.cancelEviction(c)
+	if !c.stopReadingAt.IsZero() || c.readAhead.Load() != nil {
+		// The tracker, or net/http while it read the head, has set a read deadline. Once it
+		// passes, the read would fail as if the client had disconnected, or the read-ahead
+		// would stop.
+		c.serverDeadline = time.Time{}
+		c.stopReading(time.Time{})
 	}
 	return true
 }
--- a/internal/frontend/conn_test.go
+++ b/internal/frontend/conn_test.go
@@ -1,9 +1,14 @@
 package frontend
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
+	"time"
+
+	"swiftpitch/internal/testsupport"
 )
 
 // textConn is a connection whose reads always return text, even once it is closed.
@@ -23,3 +28,54 @@
 		t.Errorf("Read on a locally closed connection returned %d bytes, error %v; want 0, %v", n, err, io.EOF)
 	}
 }
+
+// readResult is the result of a read of one byte.
+type readResult struct {
+	count int
+	err   error
+}
+
+// startDisconnectCheck starts the read of one byte by which net/http detects, once it has read
+// a complete request, that the client disconnects.
+func startDisconnectCheck(c *Conn) <-chan readResult {
+	results := make(chan readResult, 1)
+	go func() {
+		count, err := c.Read(make([]byte, 1))
+		results <- readResult{count, err}
+	}()
+	return results
+}
+
+// Guards against taking a deadline of the tracker for a disconnect of the client, which would
+// drop a complete request without an answer. A deadline of net/http still ends the read.
+func TestDisconnectCheckOutlastsTrackerDeadlines(t *testing.T) {
+	for name, setDeadline := range map[string]func(*Tracker){
+		"eviction": func(tracker *Tracker) {
+			tracker.mu.Lock()
+			defer tracker.mu.Unlock()
+			tracker.evictFor(&Conn{idleSince: time.Now()})
+		},
+		"end of draining": func(tracker *Tracker) { tracker.setFinalReadDeadline(time.Now()) },
+	} {
+		tracker := NewTracker(1, NewMemoryBudget(testMemory))
+		serverConn, clientConn := net.Pipe()
+		defer clientConn.Close()
+		c := newConn(serverConn, tracker)
+		c.idleSince = time.Now()
+		c.requestStarted = true
+		tracker.conns[c] = c
+		results := startDisconnectCheck(c)
+		setDeadline(tracker)
+		clientConn.SetDeadline(time.Now().Add(testsupport.MaxWait))
+		io.WriteString(clientConn, "x")
+		if got := testsupport.Receive(t, "the client's byte", results); got.count != 1 || got.err != nil {
+			t.Errorf("%s: the read returned %d bytes, error %v; want the client's byte", name, got.count, got.err)
+		}
+		results = startDisconnectCheck(c)
+		setDeadline(tracker)
+		c.SetReadDeadline(time.Unix(1, 0))
+		if got := testsupport.Receive(t, "the end of the read", results); !errors.Is(got.err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s, then a deadline of net/http: error %v, want %v", name, got.err, os.ErrDeadlineExceeded)
+		}
+	}
+}
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"swiftpitch/internal/socket"
 )
 
 // noRequestIdleFactor multiplies the idle time of a connection that never sent a complete
@@ -14,6 +16,10 @@
 // evict only each other.
 const noRequestIdleFactor = 8
 
+// maxEvicting limits the connections that are to end but are still open. They come on top of
+// the limit on open connections.
+const maxEvicting = 4
+
 // Tracker records the open connections of clients. It limits their number, and closes the
 // idle ones when the node drains. It has its own lock; its methods may be called from any
 // goroutine.
@@ -23,6 +29,7 @@
 
 	mu        sync.Mutex
 	conns     map[net.Conn]*Conn // the open connections
+	evicting  int                // those of them that are to end
 	draining  bool
 	allClosed chan struct{} // closed once no connection is open; nil: not requested or already closed
 }
@@ -38,6 +45,7 @@
 	MaxConns       int // limit on open connections
 	Open           int // open connections
 	Idle           int // connections whose last request is answered, with no byte of the next one read
+	Receiving      int // connections with a request of which part was read and that is not accepted yet
 	SentRequest    int // connections that have sent at least one complete request
 	ReadAhead      int // connections whose clients sent more data while a request was in flight
 	ReadAheadBytes int // bytes of that data that are not yet consumed
@@ -52,6 +60,9 @@
 		if c.idle {
 			stats.Idle++
 		}
+		if c.requestStarted {
+			stats.Receiving++
+		}
 		if c.hasSentRequest {
 			stats.SentRequest++
 		}
@@ -70,36 +81,85 @@
 	c := conn.(*Conn) // made by a Listener
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.conns) >= t.maxConns {
+	c.idleSince = time.Now()
+	if t.remaining() >= t.maxConns {
 		t.evictFor(c)
 	}
-	c.idleSince = time.Now()
 	if !c.closedLocally {
 		t.conns[c] = c
 	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// evictFor closes one connection so that an incoming one fits the limit: of the connections
-// without a request in flight, the one that has been idle longest. The idle time of those
-// that never sent a complete request is multiplied by [noRequestIdleFactor]. If all are busy,
-// the incoming connection itself is closed. The lock is held.
+// remaining returns the number of open connections without those that are to end. The lock is
+// held.
+func (t *Tracker) remaining() int { return len(t.conns) - t.evicting }
+
+// evictFor makes one connection end so that an incoming one fits the limit. It closes the
+// connection that has been idle longest. If there is none, it stops reading the one that has
+// been receiving its first request longest; the connection then ends, unless that request
+// turns out to be complete. If there is none of that kind either, it closes the incoming one.
+// Requests in flight and further requests that are being received are never cut off. The lock
+// is held.
 func (t *Tracker) evictFor(incoming *Conn) {
-	evicted := incoming
-	longest := time.Duration(-1)
-	now := time.Now()
+	now := incoming.idleSince
+	if idle := t.longestIdle(now); idle != nil {
+		idle.closeLocally()
+		delete(t.conns, idle)
+		return
+	}
+	receiving := t.longestReceivingFirstRequest(now)
+	if receiving == nil || t.evicting >= maxEvicting {
+		incoming.closeLocally()
+		return
+	}
+	receiving.evicting = true
+	t.evicting++
+	receiving.stopReading(now)
+}
+
+// longestIdle returns the connection that has been idle longest, or nil if none is idle. The
+// idle time of those that never sent a complete request is multiplied by
+// [noRequestIdleFactor]. A connection is not idle if the kernel holds bytes that the client
+// has sent. The lock is held.
+func (t *Tracker) longestIdle(now time.Time) (longest *Conn) {
+	longestTime := time.Duration(-1)
 	for _, c := range t.conns {
-		idle := now.Sub(c.idleSince)
+		if c.busy || c.requestStarted || c.evicting {
+			continue
+		}
+		idleTime := now.Sub(c.idleSince)
 		if !c.hasSentRequest {
-			idle *= noRequestIdleFactor
+			idleTime *= noRequestIdleFactor
+		}
+		if idleTime > longestTime && socket.Peek(c.Conn) != socket.Readable {
+			longest = c
+			longestTime = idleTime
 		}
-		if !c.busy && idle > longest {
-			evicted = c
-			longest = idle
+	}
+	return longest
+}
+
+// longestReceivingFirstRequest returns the oldest connection that has not sent a complete
+// request yet, as far as known, or nil if there is none. The lock is held.
+func (t *Tracker) longestReceivingFirstRequest(now time.Time) (oldest *Conn) {
+	oldestAge := time.Duration(-1)
+	for _, c := range t.conns {
+		age := now.Sub(c.idleSince)
+		if !c.busy && !c.hasSentRequest && !c.evicting && age > oldestAge {
+			oldest = c
+			oldestAge = age
 		}
 	}
-	evicted.closeLocally()
-	delete(t.conns, evicted)
+	return oldest
+}
+
+// cancelEviction keeps a connection that was to end. The lock is held.
+func (t *Tracker) cancelEviction(c *Conn) {
+	if c.evicting {
+		c.evicting = false
+		t.evicting--
+	}
 }
 
 // ConnState updates the record of a connection whose state has changed. It is the ConnState
@@ -119,16 +179,25 @@
 
 // requestAnswered records that a connection's request was answered. The lock is held.
 func (t *Tracker) requestAnswered(c *Conn) {
-	c.idle = !c.nextRequestStarted
+	c.requestStarted = c.nextRequestStarted
+	c.idle = !c.requestStarted
 	c.busy = false
 	c.idleSince = time.Now()
-	if t.draining && c.idle {
-		c.closeLocally() // the response was written before draining began, without Connection: close
+	switch {
+	case !c.idle:
+	case t.draining: // the response was written before draining began, without Connection: close
+		c.closeLocally()
+	case t.remaining() > t.maxConns: // an eviction was canceled
+		c.closeLocally()
+		t.remove(c)
 	}
 }
 
 // remove deletes the record of a closed connection. The lock is held.
 func (t *Tracker) remove(conn net.Conn) {
+	if c := t.conns[conn]; c != nil {
+		t.cancelEviction(c)
+	}
 	delete(t.conns, conn)
 	if len(t.conns) == 0 && t.allClosed != nil {
 		close(t.allClosed)
@@ -157,14 +226,14 @@
 	return t.draining
 }
 
-// setFinalReadDeadline sets the deadline by which requests that are still arriving must be
+// setFinalReadDeadline sets the time by which requests that are still arriving must be
 // complete.
 func (t *Tracker) setFinalReadDeadline(deadline time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range t.conns {
 		if !c.busy {
-			c.SetReadDeadline(deadline)
+			c.stopReading(deadline)
 		}
 	}
 }
--- a/internal/frontend/tracker_test.go
+++ b/internal/frontend/tracker_test.go
@@ -1,12 +1,14 @@
 package frontend
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"swiftpitch/internal/socket"
 	"swiftpitch/internal/testsupport"
 )
 
@@ -62,3 +64,103 @@
 		}
 	}
 }
+
+// Guards against closing a kept connection in the middle of a request: while its next request
+// arrives in pieces, idle clients that fill the limit evict each other, however long ago it
+// got its last answer.
+func TestEvictionSparesRequestInPieces(t *testing.T) {
+	tracker := NewTracker(2, NewMemoryBudget(testMemory))
+	addr := startServer(t, tracker)
+	kept := dial(t, addr)
+	kept.get()
+	const request = "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n"
+	half := len(request) / 2
+	io.WriteString(kept, request[:half])
+	testsupport.Eventually(t, "the first half of the request", func() bool { return tracker.Stats().Receiving == 1 })
+	tracker.mu.Lock()
+	for _, c := range tracker.conns {
+		c.idleSince = time.Now().Add(-time.Hour)
+	}
+	tracker.mu.Unlock()
+	for range 8 {
+		dial(t, addr)
+	}
+	if status := dial(t, addr).get(); status != http.StatusOK {
+		t.Errorf("new client after the idle ones: status %d, want %d", status, http.StatusOK)
+	}
+	if status := kept.send(request[half:]); status != http.StatusOK {
+		t.Errorf("request in two pieces: status %d, want %d", status, http.StatusOK)
+	}
+}
+
+// Guards against resetting a kept connection on which a request has arrived that is not read
+// yet: another connection is evicted, even if it has been idle for a shorter time.
+func TestEvictionSparesUnreadRequest(t *testing.T) {
+	tracker := NewTracker(2, NewMemoryBudget(testMemory))
+	listener := NewListener(testsupport.Listen(t), tracker)
+	client, conn := connect(t, listener)
+	_, idle := connect(t, listener)
+	_, incoming := connect(t, listener)
+	for i, c := range []*Conn{conn, idle} {
+		c.hasSentRequest = true
+		c.idle = true
+		c.idleSince = time.Now().Add(time.Duration(i-2) * time.Hour)
+		tracker.conns[c] = c
+	}
+	io.WriteString(client, "G")
+	testsupport.Eventually(t, "the first byte", func() bool { return socket.Peek(conn.Conn) == socket.Readable })
+	tracker.ConnContext(context.Background(), incoming)
+	if conn.closedLocally || !idle.closedLocally {
+		t.Errorf("closed: %v the connection with an unread request, %v the idle one; want false, true", conn.closedLocally, idle.closedLocally)
+	}
+}
+
+// Guards against dropping a request that was read completely but is not accepted yet when its
+// connection is evicted. The connection ends after the answer, because the limit is exceeded.
+func TestEvictionSparesCompleteRequest(t *testing.T) {
+	tracker := NewTracker(1, NewMemoryBudget(testMemory))
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	addr := startServerWith(t, tracker, func(w http.ResponseWriter, req *http.Request) {
+		started <- struct{}{}
+		<-release
+		answerHello(w, req)
+	})
+	evicted := dial(t, addr)
+	io.WriteString(evicted, "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n")
+	testsupport.Receive(t, "the request", started)
+	fresh := dial(t, addr)
+	testsupport.Eventually(t, "the second connection", func() bool { return tracker.Stats().Open == 2 })
+	close(release)
+	if status := evicted.readStatus(); status != http.StatusOK {
+		t.Errorf("request on the evicted connection: status %d, want %d", status, http.StatusOK)
+	}
+	if _, err := evicted.reader.ReadByte(); err != io.EOF {
+		t.Errorf("evicted connection after the answer: read error %v, want %v", err, io.EOF)
+	}
+	if status := fresh.get(); status != http.StatusOK {
+		t.Errorf("request on the new connection: status %d, want %d", status, http.StatusOK)
+	}
+}
+
+// Guards against cutting off all partly received first requests at once: no more than
+// maxEvicting of them end at a time, and then new connections are closed.
+func TestEvictionIsBounded(t *testing.T) {
+	tracker := NewTracker(2*maxEvicting, NewMemoryBudget(testMemory))
+	listener := NewListener(testsupport.Listen(t), tracker)
+	for range 2 * maxEvicting {
+		_, c := connect(t, listener)
+		c.requestStarted = true
+		tracker.ConnContext(context.Background(), c)
+	}
+	for i := range maxEvicting + 1 {
+		_, incoming := connect(t, listener)
+		incoming.requestStarted = true
+		tracker.ConnContext(context.Background(), incoming)
+		if want := i == maxEvicting; incoming.closedLocally != want {
+			t.Errorf("new connection %d: closed %v, want %v", i, incoming.closedLocally, want)
+		}
+	}
+	if open := tracker.Stats().Open; open != 3*maxEvicting {
+		t.Errorf("%d open connections, want %d", open, 3*maxEvicting)
+	}
+}
