upstream: forward a response without a length once its connection ends in order

What callers saw: a whole 200 answer with neither Content-Length nor chunked encoding was never forwarded. A class that may not run twice got 502 for work that had run; a class that is safe to repeat ran a second time.

Cause: Conn.readHead ended every such response with errUnframedBody before its body was read, as truncation could not be told from the end.

Change: the body is read to the end of the stream; a reset, a time-out and a close on our side stay ConnectionLost or TimedOut. Not taken for whole: a body that ends where the limit on a response's size does, and an HTTP/1.0 response, whose Transfer-Encoding net/http drops without decoding. Health checks use the same code.

--- a/internal/edge/attempt_test.go
+++ b/internal/edge/attempt_test.go
@@ -54,6 +54,35 @@
 	}
 }
 
+// TestWholeAnswerWithoutLengthIsForwarded guards against failing a request that must not run twice
+// although its answer came whole: an answer without a length ends with its connection. If the
+// connection is reset instead, the answer may be cut off, and the request fails without a retry.
+func TestWholeAnswerWithoutLengthIsForwarded(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello"
+	for _, test := range []struct {
+		name       string
+		reset      bool
+		wantStatus int
+	}{{"end of the connection", false, http.StatusOK}, {"reset", true, http.StatusBadGateway}} {
+		endpoint := testsupport.StartFakeServer(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+			io.WriteString(c, unframed)
+			if test.reset {
+				c.(*net.TCPConn).SetLinger(0) // the close resets the connection
+			}
+			return false
+		})
+		h := startNode(t, testConfig(t), endpoint.Addr)
+		resp, body := h.dial().roundTrip(clientRequest("merge", "00000000000000aa"))
+		if resp.StatusCode != test.wantStatus || (body == "hello") != (resp.StatusCode == http.StatusOK) {
+			t.Errorf("%s: status %d, body %q, want status %d, with the body %q only if it is %d",
+				test.name, resp.StatusCode, body, test.wantStatus, "hello", http.StatusOK)
+		}
+		if got := endpoint.Requests(); len(got) != 1 {
+			t.Errorf("%s: the endpoint received %q, want one request", test.name, got)
+		}
+	}
+}
+
 // TestDedupWindowEndsDuringDial checks that a retry with an idempotency key is not written if
 // the dedup window of the first attempt, which may have run, ends while the retry's connection
 // is dialed.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -24,7 +24,7 @@
 var (
 	errTooManyInterimResponses = errors.New("too many interim (1xx) responses")
 	errBodyTooLong             = errors.New("response body too long")
-	errUnframedBody            = errors.New("response body without Content-Length or chunked encoding: truncation can't be detected")
+	errUnframedHTTP10          = errors.New("HTTP/1.0 response without Content-Length: its Transfer-Encoding, if any, is not decoded")
 )
 
 // Response is the result of an exchange.
@@ -53,7 +53,7 @@
 	if err != nil {
 		return Response{Outcome: policy.ConnectionLost}
 	}
-	body, err := readBody(head)
+	body, err := c.readBody(head)
 	if err != nil {
 		return Response{Outcome: policy.ConnectionLost}
 	}
@@ -86,8 +86,8 @@
 		return nil, errTooManyInterimResponses
 	case head.ContentLength > maxBodyBytes:
 		return nil, errBodyTooLong
-	case head.ContentLength < 0 && len(head.TransferEncoding) == 0:
-		return nil, errUnframedBody
+	case isUnframed(head) && !head.ProtoAtLeast(1, 1):
+		return nil, errUnframedHTTP10
 	}
 	return head, nil
 }
@@ -95,13 +95,21 @@
 // isInterim reports whether a response is interim (1xx), so that another one follows.
 func isInterim(head *http.Response) bool { return head.StatusCode < http.StatusOK }
 
-// readBody reads a response's body completely.
-func readBody(head *http.Response) ([]byte, error) {
+// isUnframed reports whether a response has neither a length nor chunked encoding, so that its
+// body ends with the connection.
+func isUnframed(head *http.Response) bool {
+	return head.ContentLength < 0 && len(head.TransferEncoding) == 0
+}
+
+// readBody reads a response's body completely. An unframed body is complete if the endpoint
+// closes the connection in order; a reset is a read error.
+func (c *Conn) readBody(head *http.Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(head.Body, maxBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maxBodyBytes {
+	limitReached := isUnframed(head) && c.limit.N <= 0 // the connection may not have ended there
+	if len(body) > maxBodyBytes || limitReached {
 		return nil, errBodyTooLong
 	}
 	return body, nil
