policy: a gateway's share of the hard limit starts empty at every start

What callers saw: a partner got more than the hard limit's slack allows when edge nodes were killed and started again within 2 s after the counter had lost names: the restarted nodes spent the burst of their shares again.

Cause: incarnationRecord took a counter that answers 0 for its two names for proof that there was no earlier run of the gateway, and then released the whole share at once. A counter that has lost the names, or is back empty elsewhere, answers the same; the record was only renewed every 2 s. Renewing it sooner or under more names narrows the time but cannot close it, as a counter may lose everything: to the policy, a first run and a restart behind such a counter are the same input, so no reply can release the burst.

Change: the record is gone, with its calls (one every 2 s from each gateway with a hard limit). Each run starts with an empty share that refills at the share's rate since the start, as a restarted one already did. What it costs is the burst in the first seconds of a run: it is whole after burst and tolerance over the rate, about 3 s.

TestFirstIncarnationStartsWithItsHardLimitShare demanded the burst at once behind an empty counter, which is just the input of the fault. In its place TestHardLimitShareFillsAfterStart holds the share to its refill from the start on: nothing at 0 s, 2 units at 1.1 s, the whole share from 2.5 s.

On the old code TestHardLimitHoldsAcrossRestarts fails with a counter that loses its totals: 40 units over five runs, 25 are the share.

--- a/internal/policy/gateway.go
+++ b/internal/policy/gateway.go
@@ -12,10 +12,11 @@
 // Gateway is the state machine of one gateway: it turns events into actions, as described
 // in the package comment. It is not safe for concurrent use.
 type Gateway struct {
-	settings Settings
-	rng      *rand.Rand
-	now      Time     // time of the current event
-	out      []Action // actions of the current event so far
+	settings  Settings
+	rng       *rand.Rand
+	startedAt Time     // when this incarnation started
+	now       Time     // time of the current event
+	out       []Action // actions of the current event so far
 
 	tenants  map[uint64]*tenantState
 	requests map[string]*request
@@ -24,7 +25,6 @@
 	counterCalls  counterCalls
 	counterBudget counterBudget
 	stalls        stallDetector
-	incarnation   incarnationRecord
 	overQuota     overQuotaModel
 
 	endpoints    endpointSet
@@ -43,9 +43,10 @@
 		return nil, err
 	}
 	g := &Gateway{
-		settings: settings,
-		rng:      rand.New(rand.NewPCG(settings.Seed, seedStream)),
-		now:      now,
+		settings:  settings,
+		rng:       rand.New(rand.NewPCG(settings.Seed, seedStream)),
+		startedAt: now,
+		now:       now,
 
 		tenants:  map[uint64]*tenantState{},
 		requests: map[string]*request{},
@@ -54,7 +55,6 @@
 		counterCalls:  counterCalls{},
 		counterBudget: newCounterBudget(),
 		stalls:        newStallDetector(now),
-		incarnation:   incarnationRecord{gatewayIndex: settings.GatewayIndex, startedAt: now},
 		overQuota:     newOverQuotaModel(len(settings.Plans)),
 
 		endpoints:   newEndpointSet(settings.GatewayIndex),
--- a/internal/policy/hardlimit.go
+++ b/internal/policy/hardlimit.go
@@ -8,19 +8,23 @@
 // that needs no counter. The shares of all gateways add up to at most the limit, so that
 // it holds whether or not the gateways know of each other's use.
 //
+// A gateway does not know how much of its share an earlier incarnation (run of its process)
+// spent shortly before this one started, and the counter cannot tell, because it may have lost
+// what it was told. So the share of a new incarnation starts empty, as if all had been spent.
+//
 // If the shared bucket admits the tenant's requests, the units that it grants are already
 // limited by the quota; the shares then divide only the part of the limit above the quota.
 type hardLimitShare struct {
 	plan     *Plan
 	gateways float64 // number of gateways that share the limit
 	tokens   float64 // units left
-	withheld float64 // units that an earlier incarnation (run of this gateway's process) may have spent
 }
 
-// newHardLimitShare returns a full share.
-func newHardLimitShare(plan *Plan, gateways float64, sharedBucket bool) hardLimitShare {
+// newHardLimitShare returns a share that nothing was taken from since the incarnation started,
+// uptime ago.
+func newHardLimitShare(plan *Plan, gateways float64, uptime time.Duration, sharedBucket bool) hardLimitShare {
 	s := hardLimitShare{plan: plan, gateways: gateways}
-	s.tokens = s.capacity(sharedBucket)
+	s.refill(uptime.Seconds(), sharedBucket)
 	return s
 }
 
@@ -47,20 +51,6 @@
 	s.tokens = min(s.capacity(sharedBucket), s.tokens+elapsed*s.refillRate(sharedBucket))
 }
 
-// withhold removes the units that an earlier incarnation may have spent. How many it spent
-// is not known, so only the units refilled during this incarnation's uptime are left.
-func (s *hardLimitShare) withhold(uptime time.Duration, sharedBucket bool) {
-	s.tokens = min(s.tokens, uptime.Seconds()*s.refillRate(sharedBucket))
-	s.withheld = s.capacity(sharedBucket) - s.tokens
-}
-
-// release gives back the withheld units, once it is known that there was no earlier
-// incarnation.
-func (s *hardLimitShare) release() {
-	s.tokens += s.withheld
-	s.withheld = 0
-}
-
 // allows reports whether there is no hard limit or the share holds the units.
 func (s *hardLimitShare) allows(units float64) bool {
 	return s.plan.HardLimitRate == 0 || s.tokens >= units
@@ -69,7 +59,7 @@
 // take spends units of the share.
 func (s *hardLimitShare) take(units float64) { s.tokens -= units }
 
-// full reports whether the share holds as many units as a new one.
+// full reports whether the share holds as many units as it can.
 func (s *hardLimitShare) full(sharedBucket bool) bool {
 	return s.tokens >= s.capacity(sharedBucket)-unitTolerance
 }
--- a/internal/policy/tenant.go
+++ b/internal/policy/tenant.go
@@ -46,9 +46,6 @@
 	t := g.tenants[ev.Tenant]
 	if t == nil {
 		t = g.newTenantState(ev)
-		if g.settings.CounterEnabled && t.plan.HardLimitRate > 0 {
-			g.requestIncarnationRecord()
-		}
 		g.tenants[t.key] = t
 		if g.settings.CounterEnabled && (t.plan.Rate > 0 || t.plan.MaxConcurrent > 0) {
 			t.intervalIndex = t.intervalIndexAt(g.now)
@@ -62,8 +59,7 @@
 
 // newTenantState returns the state of a tenant that is new or whose state was dropped. The
 // state starts with an even share of the quota, or uncoordinatedMultiple times that if the
-// tenant uses the shared bucket. Of the hard limit, it starts without the units that an
-// earlier incarnation may have spent.
+// tenant uses the shared bucket.
 func (g *Gateway) newTenantState(ev RequestReceived) *tenantState {
 	plan := &g.settings.Plans[ev.Plan]
 	t := &tenantState{
@@ -80,10 +76,7 @@
 	t.localDemand = t.fleetDemand / t.gateways
 	t.updateAllocation()
 	t.tokens = t.tokenCapacity()
-	t.hardLimit = newHardLimitShare(plan, t.gateways, t.usesSharedBucket())
-	if !g.incarnation.isFirst {
-		t.hardLimit.withhold(g.now-g.incarnation.startedAt, t.usesSharedBucket())
-	}
+	t.hardLimit = newHardLimitShare(plan, t.gateways, g.now-g.startedAt, t.usesSharedBucket())
 	return t
 }
 
