frontend: a byte read before a request is accepted starts the next request

A client that sends the first byte of its next request early could have its connection closed in the middle of that request, at the limit on client connections or at the start of a shutdown.

Cause: net/http reads one byte beyond a complete request to detect disconnects, and may do so before the handler calls AcceptRequest. That call reset nextRequestStarted, so that the connection counted as idle after the answer although part of the next request was read.

Change: requestAnswered resets the flag, after it has used it.

Evidence: TestByteReadBeforeAcceptStartsNextRequest fails on the old code (1 idle, 0 receiving) and passes with the change.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -181,7 +181,6 @@
 	c.hasSentRequest = true
 	c.requestStarted = false
 	c.busy = true
-	c.nextRequestStarted = false
 	c.tracker.cancelEviction(c)
 	if !c.stopReadingAt.IsZero() || c.readAhead.Load() != nil {
 		// The tracker, or net/http while it read the head, has set a read deadline. Once it
--- a/internal/frontend/conn_test.go
+++ b/internal/frontend/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"testing"
 	"time"
@@ -79,3 +80,24 @@
 		}
 	}
 }
+
+// Guards against taking a connection for idle in the middle of a request: the first byte of the
+// next request may be read before the request in flight is accepted.
+func TestByteReadBeforeAcceptStartsNextRequest(t *testing.T) {
+	tracker := NewTracker(1, NewMemoryBudget(testMemory))
+	serverConn, clientConn := net.Pipe()
+	defer clientConn.Close()
+	c := newConn(serverConn, tracker)
+	tracker.conns[c] = c
+	results := startDisconnectCheck(c)
+	clientConn.SetDeadline(time.Now().Add(testsupport.MaxWait))
+	io.WriteString(clientConn, "G")
+	testsupport.Receive(t, "the first byte of the next request", results)
+	if !c.AcceptRequest() {
+		t.Fatal("the request is not accepted")
+	}
+	tracker.ConnState(c, http.StateIdle)
+	if stats := tracker.Stats(); stats.Idle != 0 || stats.Receiving != 1 {
+		t.Errorf("after the answer: %d idle, %d receiving; want 0, 1", stats.Idle, stats.Receiving)
+	}
+}
