frontend: net/http's read deadlines replace the end of draining again

Change: only the deadline of an eviction outlasts those of net/http.

Evidence: TestServerDeadlineReplacesEndOfDraining fails without the change (its first read times out) and passes with it.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -92,12 +92,15 @@
 	return c.Conn.Read(b)
 }
 
-// SetReadDeadline implements [net.Conn]; net/http calls it. A deadline of the tracker stays
-// in force beside it.
+// SetReadDeadline implements [net.Conn]; net/http calls it. It replaces a deadline of the
+// tracker, except for that of an eviction, which stays in force beside it.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
 	c.serverDeadline = deadline
+	if !c.evicting {
+		c.stopReadingAt = time.Time{}
+	}
 	return c.applyReadDeadline()
 }
 
--- a/internal/frontend/conn_test.go
+++ b/internal/frontend/conn_test.go
@@ -81,6 +81,32 @@
 	}
 }
 
+// Guards slow clients while the node drains: once a request's head is complete, the deadline that
+// net/http sets for its body replaces the one at which reading ends. An eviction stays in force.
+func TestServerDeadlineReplacesEndOfDraining(t *testing.T) {
+	tracker := NewTracker(1, NewMemoryBudget(testMemory))
+	serverConn, clientConn := net.Pipe()
+	defer clientConn.Close()
+	c := newConn(serverConn, tracker)
+	c.idleSince = time.Now()
+	c.requestStarted = true
+	tracker.conns[c] = c
+	tracker.setFinalReadDeadline(time.Now())
+	c.SetReadDeadline(time.Now().Add(testsupport.MaxWait))
+	clientConn.SetDeadline(time.Now().Add(testsupport.MaxWait))
+	go io.WriteString(clientConn, "xx")
+	if count, err := io.ReadFull(c, make([]byte, 2)); err != nil {
+		t.Errorf("draining: read %d bytes, error %v; want 2 bytes", count, err)
+	}
+	tracker.mu.Lock()
+	tracker.evictFor(&Conn{idleSince: time.Now()})
+	tracker.mu.Unlock()
+	c.SetReadDeadline(time.Now().Add(testsupport.MaxWait))
+	if _, err := c.Read(make([]byte, 2)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("evicted: read error %v, want %v", err, os.ErrDeadlineExceeded)
+	}
+}
+
 // Guards against taking a connection for idle in the middle of a request: the first byte of the
 // next request may be read before the request in flight is accepted.
 func TestByteReadBeforeAcceptStartsNextRequest(t *testing.T) {
