--- a/internal/testsupport/loopback.go
+++ b/internal/testsupport/loopback.go
@@ -30,3 +30,16 @@
 	conn.SetDeadline(time.Now().Add(MaxWait))
 	return conn.(*net.TCPConn)
 }
+
+// Connect opens a connection to a listener, accepts it and returns both ends. They are closed when
+// the test ends.
+func Connect(t *testing.T, listener net.Listener) (client, accepted net.Conn) {
+	t.Helper()
+	client = Dial(t, listener.Addr().String())
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return client, accepted
+}
