--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -13,15 +13,34 @@
 	"swiftpitch/internal/testsupport"
 )
 
+// exchangeTest is a response of an endpoint, after which the connection ends in order, and the
+// result that the exchange must have.
+type exchangeTest struct {
+	name, response string
+	outcome        policy.Outcome
+	reusable       bool
+}
+
+// run checks the outcome, and that only a complete response with the body "hello" succeeds.
+func (test exchangeTest) run(t *testing.T) {
+	addr := testsupport.StartFakeServer(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		io.WriteString(conn, test.response)
+		return false
+	}).Addr
+	response := NewConn(testsupport.Dial(t, addr), nil, addr).Exchange(getRequest("/"))
+	if response.Outcome != test.outcome || response.Reusable != test.reusable {
+		t.Errorf("outcome %d, reusable %v; want %d, %v", response.Outcome, response.Reusable, test.outcome, test.reusable)
+	}
+	if (response.Outcome == policy.Succeeded) != (string(response.Body) == "hello") {
+		t.Errorf("outcome %d with body %q; want %q exactly if the outcome is %d", response.Outcome, response.Body, "hello", policy.Succeeded)
+	}
+}
+
 // TestExchangeOutcomes checks the outcome of each way in which an exchange can end. A
 // request counts as never run only if that is proven, and only a complete response
 // succeeds.
 func TestExchangeOutcomes(t *testing.T) {
-	for _, test := range []struct {
-		name, response string
-		outcome        policy.Outcome
-		reusable       bool
-	}{
+	for _, test := range []exchangeTest{
 		{"succeeded", testsupport.OKResponse, policy.Succeeded, true},
 		{"succeeded, chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", policy.Succeeded, true},
 		{"succeeded, connection closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", policy.Succeeded, false},
@@ -34,13 +53,6 @@
 		{"503 without X-Never-Ran", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", policy.ServerError, true},
 		{"500 with X-Never-Ran", "HTTP/1.1 500 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", policy.ServerError, true},
 		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", policy.ConnectionLost, false},
-		{"body without length", "HTTP/1.1 200 OK\r\n\r\nhello", policy.Succeeded, false},
-		{"body without length after 1xx", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhello", policy.Succeeded, false},
-		{"503 with X-Never-Ran without length", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\n\r\nfull", policy.Overloaded, false},
-		{"body without length, too long", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", maxBodyBytes+1), policy.ConnectionLost, false},
-		{"body without length beyond the limit of head and body",
-			"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxResponseHeadBytes) + "\r\n\r\n" + strings.Repeat("x", maxBodyBytes), policy.ConnectionLost, false},
-		{"body without length, HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", policy.ConnectionLost, false},
 		{"truncated 503 with X-Never-Ran", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 9\r\n\r\nhello", policy.ConnectionLost, false},
 		{"body length of 3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhello", policy.ConnectionLost, false},
 		{"response followed by a duplicate", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", policy.Succeeded, false},
@@ -50,19 +62,23 @@
 		{"body too long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBodyBytes+1, strings.Repeat("x", maxBodyBytes+1)), policy.ConnectionLost, false},
 		{"head too long", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*(maxBodyBytes+maxResponseHeadBytes)), policy.ConnectionLost, false},
 	} {
-		t.Run(test.name, func(t *testing.T) {
-			addr := testsupport.StartFakeServer(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
-				io.WriteString(conn, test.response)
-				return false
-			}).Addr
-			response := NewConn(testsupport.Dial(t, addr), nil, addr).Exchange(getRequest("/"))
-			if response.Outcome != test.outcome || response.Reusable != test.reusable {
-				t.Errorf("outcome %d, reusable %v; want %d, %v", response.Outcome, response.Reusable, test.outcome, test.reusable)
-			}
-			if (response.Outcome == policy.Succeeded) != (string(response.Body) == "hello") {
-				t.Errorf("outcome %d with body %q; want %q exactly if the outcome is %d", response.Outcome, response.Body, "hello", policy.Succeeded)
-			}
-		})
+		t.Run(test.name, test.run)
+	}
+}
+
+// TestUnframedResponseOutcomes checks the same for responses without a length, whose body
+// ends where the endpoint closes the connection in order.
+func TestUnframedResponseOutcomes(t *testing.T) {
+	for _, test := range []exchangeTest{
+		{"body without length", "HTTP/1.1 200 OK\r\n\r\nhello", policy.Succeeded, false},
+		{"body without length after 1xx", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhello", policy.Succeeded, false},
+		{"503 with X-Never-Ran without length", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\n\r\nfull", policy.Overloaded, false},
+		{"body without length, too long", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", maxBodyBytes+1), policy.ConnectionLost, false},
+		{"body without length beyond the limit of head and body",
+			"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxResponseHeadBytes) + "\r\n\r\n" + strings.Repeat("x", maxBodyBytes), policy.ConnectionLost, false},
+		{"body without length, HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", policy.ConnectionLost, false},
+	} {
+		t.Run(test.name, test.run)
 	}
 }
 
