frontend: one connection at a time may end beyond the limit on connections

Cause: an evicted connection that is receiving its first request stays open until net/http has ended it, on top of the limit. Up to four such connections do not fit the descriptors that are reserved.

Change: one at a time, and the new connection waits up to 20 ms for its end, so that bursts of new connections still find room. The check is as before.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -29,16 +29,17 @@
 
 	// The tracker's lock guards the fields below.
 
-	idleSince          time.Time // when the connection was accepted or its last request was answered
-	idle               bool      // the last request is answered, and no byte of the next one was read
-	requestStarted     bool      // part of a request was read that is not accepted yet
-	nextRequestStarted bool      // part of the next request was read while one was in flight
-	hasSentRequest     bool      // the client has sent at least one complete request
-	busy               bool      // a complete request is in flight
-	closedLocally      bool      // the node closed the connection between requests
-	evicting           bool      // the connection is to end, unless the request on it is complete
-	serverDeadline     time.Time // read deadline set by net/http; zero: none
-	stopReadingAt      time.Time // read deadline set by the tracker; zero: none
+	idleSince          time.Time     // when the connection was accepted or its last request was answered
+	idle               bool          // the last request is answered, and no byte of the next one was read
+	requestStarted     bool          // part of a request was read that is not accepted yet
+	nextRequestStarted bool          // part of the next request was read while one was in flight
+	hasSentRequest     bool          // the client has sent at least one complete request
+	busy               bool          // a complete request is in flight
+	closedLocally      bool          // the node closed the connection between requests
+	evicting           bool          // the connection is to end, unless the request on it is complete
+	serverDeadline     time.Time     // read deadline set by net/http; zero: none
+	stopReadingAt      time.Time     // read deadline set by the tracker; zero: none
+	evictionEnded      chan struct{} // closed when the connection has ended or is kept; nil: it was never to end
 }
 
 func newConn(conn net.Conn, tracker *Tracker) *Conn {
@@ -119,7 +120,7 @@
 	if c.stopReadingAt.IsZero() {
 		return false
 	}
-	c.tracker.cancelEviction(c)
+	c.tracker.endEviction(c)
 	c.stopReading(time.Time{})
 	return true
 }
@@ -184,7 +185,7 @@
 	c.hasSentRequest = true
 	c.requestStarted = false
 	c.busy = true
-	c.tracker.cancelEviction(c)
+	c.tracker.endEviction(c)
 	if !c.stopReadingAt.IsZero() || c.readAhead.Load() != nil {
 		// The tracker, or net/http while it read the head, has set a read deadline. Once it
 		// passes, the read would fail as if the client had disconnected, or the read-ahead
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -16,9 +16,14 @@
 // evict only each other.
 const noRequestIdleFactor = 8
 
-// maxEvicting limits the connections that are to end but are still open. They come on top of
-// the limit on open connections.
-const maxEvicting = 4
+const (
+	// maxEvicting limits the connections that are to end but are still open. They come on top
+	// of the limit on open connections.
+	maxEvicting = 1
+	// maxEvictionWait limits how long a new connection waits for the end of the one that it
+	// replaces. That takes less, unless the client is sent an error first.
+	maxEvictionWait = 20 * time.Millisecond
+)
 
 // Tracker records the open connections of clients. It limits their number, and closes the
 // idle ones when the node drains. It has its own lock; its methods may be called from any
@@ -79,16 +84,28 @@
 // of an [http.Server]; the connection must come from a [Listener].
 func (t *Tracker) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	c := conn.(*Conn) // made by a Listener
+	if evictionEnded := t.add(c); evictionEnded != nil {
+		select {
+		case <-evictionEnded:
+		case <-time.After(maxEvictionWait):
+		}
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// add records a new connection. At the limit it evicts one; if that is still open, it returns
+// a channel that is closed when the eviction has ended, else nil.
+func (t *Tracker) add(c *Conn) (evictionEnded <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.idleSince = time.Now()
 	if t.remaining() >= t.maxConns {
-		t.evictFor(c)
+		evictionEnded = t.evictFor(c)
 	}
 	if !c.closedLocally {
 		t.conns[c] = c
 	}
-	return context.WithValue(ctx, connKey{}, c)
+	return evictionEnded
 }
 
 // remaining returns the number of open connections without those that are to end. The lock is
@@ -99,23 +116,26 @@
 // connection that has been idle longest. If there is none, it stops reading the one that has
 // been receiving its first request longest; the connection then ends, unless that request
 // turns out to be complete. If there is none of that kind either, it closes the incoming one.
-// Requests in flight and further requests that are being received are never cut off. The lock
-// is held.
-func (t *Tracker) evictFor(incoming *Conn) {
+// Requests in flight and further requests that are being received are never cut off. It
+// returns a channel that is closed when a connection that is still open has ended or is kept,
+// or nil. The lock is held.
+func (t *Tracker) evictFor(incoming *Conn) (evictionEnded <-chan struct{}) {
 	now := incoming.idleSince
 	if idle := t.longestIdle(now); idle != nil {
 		idle.closeLocally()
 		delete(t.conns, idle)
-		return
+		return nil
 	}
 	receiving := t.longestReceivingFirstRequest(now)
 	if receiving == nil || t.evicting >= maxEvicting {
 		incoming.closeLocally()
-		return
+		return nil
 	}
 	receiving.evicting = true
+	receiving.evictionEnded = make(chan struct{})
 	t.evicting++
 	receiving.stopReading(now)
+	return receiving.evictionEnded
 }
 
 // longestIdle returns the connection that has been idle longest, or nil if none is idle. The
@@ -154,10 +174,12 @@
 	return oldest
 }
 
-// cancelEviction keeps a connection that was to end. The lock is held.
-func (t *Tracker) cancelEviction(c *Conn) {
+// endEviction records that a connection which was to end has ended or is kept. The lock is
+// held.
+func (t *Tracker) endEviction(c *Conn) {
 	if c.evicting {
 		c.evicting = false
+		close(c.evictionEnded)
 		t.evicting--
 	}
 }
@@ -197,7 +219,7 @@
 // remove deletes the record of a closed connection. The lock is held.
 func (t *Tracker) remove(conn net.Conn) {
 	if c := t.conns[conn]; c != nil {
-		t.cancelEviction(c)
+		t.endEviction(c)
 	}
 	delete(t.conns, conn)
 	if len(t.conns) == 0 && t.allClosed != nil {
