frontend: plainer names and comments for connections that are being evicted

remaining becomes keptConns: the count of open connections that are not being evicted. Comments only otherwise; found on rereading the change.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -18,7 +18,7 @@
 // next one was read, and reads nothing from it afterwards. So a request that the client sends
 // just as the connection closes is either served or was never read; in the latter case the
 // client sends it again. The exception is a connection whose first request is only partly
-// received: the node may stop reading it, see [Tracker.evictFor].
+// received: at the limit on connections, the node may stop reading it.
 type Conn struct {
 	net.Conn
 	tracker *Tracker
@@ -36,10 +36,10 @@
 	hasSentRequest     bool          // the client has sent at least one complete request
 	busy               bool          // a complete request is in flight
 	closedLocally      bool          // the node closed the connection between requests
-	evicting           bool          // the connection is to end, unless the request on it is complete
+	evicting           bool          // reading was stopped to evict the connection, unless its request turns out to be complete
 	serverDeadline     time.Time     // read deadline set by net/http; zero: none
 	stopReadingAt      time.Time     // read deadline set by the tracker; zero: none
-	evictionEnded      chan struct{} // closed when the connection has ended or is kept; nil: it was never to end
+	evictionEnded      chan struct{} // closed when the eviction ends: the connection has ended or is kept; nil: never evicted
 }
 
 func newConn(conn net.Conn, tracker *Tracker) *Conn {
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -34,7 +34,7 @@
 
 	mu        sync.Mutex
 	conns     map[net.Conn]*Conn // the open connections
-	evicting  int                // those of them that are to end
+	evicting  int                // those of them that are being evicted
 	draining  bool
 	allClosed chan struct{} // closed once no connection is open; nil: not requested or already closed
 }
@@ -99,7 +99,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.idleSince = time.Now()
-	if t.remaining() >= t.maxConns {
+	if t.keptConns() >= t.maxConns {
 		evictionEnded = t.evictFor(c)
 	}
 	if !c.closedLocally {
@@ -108,9 +108,9 @@
 	return evictionEnded
 }
 
-// remaining returns the number of open connections without those that are to end. The lock is
+// keptConns returns the number of open connections that are not being evicted. The lock is
 // held.
-func (t *Tracker) remaining() int { return len(t.conns) - t.evicting }
+func (t *Tracker) keptConns() int { return len(t.conns) - t.evicting }
 
 // evictFor makes one connection end so that an incoming one fits the limit. It closes the
 // connection that has been idle longest. If there is none, it stops reading the one that has
@@ -210,7 +210,7 @@
 	case !c.idle:
 	case t.draining: // the response was written before draining began, without Connection: close
 		c.closeLocally()
-	case t.remaining() > t.maxConns: // an eviction was canceled
+	case t.keptConns() > t.maxConns: // an eviction was canceled
 		c.closeLocally()
 		t.remove(c)
 	}
