knownfailures: entries name test, command and seed, what was seen, and issue

Change: four fields separated by vertical bars, as commands contain colons; every field is required, unknown forms, doubles and a fourth entry are still refused. The rows of the tests are the old ones in the new form, and two more that refuse the old forms.

--- a/internal/knownfailures/check.go
+++ b/internal/knownfailures/check.go
@@ -71,7 +71,7 @@
 	case slices.Contains(statuses, skipped):
 		return fmt.Errorf("%s is listed in %s but was skipped", entry.test, listFile)
 	case slices.Contains(statuses, failed):
-		fmt.Fprintf(run.out, "known red: %s failed: %s: %s\n", entry.test, entry.cause, entry.issue)
+		fmt.Fprintf(run.out, "known red: %s failed: %s: %s: %s\n", entry.test, entry.seen, entry.command, entry.issue)
 	default:
 		fmt.Fprintf(run.out, "known red: %s passed: remove it from %s\n", entry.test, listFile)
 	}
--- a/internal/knownfailures/check_test.go
+++ b/internal/knownfailures/check_test.go
@@ -31,7 +31,7 @@
 
 // Guards the result of CI: only failures of listed tests may pass.
 func TestOnlyListedTestsMayFail(t *testing.T) {
-	const list = "TestA: a cause: issue 8\n"
+	const list = "TestA | go test -run TestA ./p, seed 4 | a fault | issue 8\n"
 	listedFailed := packageEvents("p", "fail", "TestA fail", "TestB pass")
 	for _, c := range []struct {
 		name, list, events string
@@ -39,7 +39,7 @@
 		wantOutput         string // part of the output
 	}{
 		{"all pass", "", packageEvents("p", "pass", "TestA pass"), "", ""},
-		{"a listed test fails", list, listedFailed, "", "known red: TestA failed: a cause: issue 8\n"},
+		{"a listed test fails", list, listedFailed, "", "known red: TestA failed: a fault: go test -run TestA ./p, seed 4: issue 8\n"},
 		{"a listed test passes in another package", list, listedFailed + packageEvents("q", "pass", "TestA pass"), "", "TestA failed"},
 		{"a listed test passes", list, packageEvents("p", "pass", "TestA pass"), "", "TestA passed: remove it from KNOWN-RED.txt"},
 		{"a subtest of a listed test fails", list, packageEvents("p", "fail", "TestA fail", "TestA/part fail", "TestB pass"), "", "TestA failed"},
@@ -88,7 +88,7 @@
 
 // Guards the form of the list: which texts are valid, and how many tests they list.
 func TestParseListRejectsMalformedLists(t *testing.T) {
-	line := func(n int) string { return fmt.Sprintf("Test%d: its cause: issue %d\n", n, n) }
+	line := func(n int) string { return fmt.Sprintf("Test%d | go test, seed %d | its fault | issue %d\n", n, n, n) }
 	for _, c := range []struct {
 		text string
 		want int // number of tests; -1 for an error
@@ -98,8 +98,10 @@
 		{line(1) + line(2) + line(3) + line(4), -1},
 		{line(1) + line(1), -1},
 		{line(1) + "\n" + line(2), -1},
-		{"TestA: cause\n", -1}, {"TestA: : issue\n", -1}, {"TestA: cause:  \n", -1}, {"A: cause: issue\n", -1},
-		{"# none\n", -1}, {" TestA: cause: issue\n", -1}, {"TestA: cause: issue: more\n", -1},
+		{"TestA | command | fault\n", -1}, {"A | command | fault | issue\n", -1},
+		{"TestA |  | fault | issue\n", -1}, {"TestA | command |  | issue\n", -1}, {"TestA | command | fault |  \n", -1},
+		{"# none\n", -1}, {" TestA | command | fault | issue\n", -1}, {"TestA | command | fault | issue | more\n", -1},
+		{"TestA: cause: issue\n", -1}, {"TestA: command: fault: issue\n", -1},
 	} {
 		list, err := parseList(c.text)
 		if (err != nil) != (c.want < 0) || err == nil && len(list) != c.want {
--- a/internal/knownfailures/list.go
+++ b/internal/knownfailures/list.go
@@ -13,14 +13,15 @@
 
 // knownFailure is one line of the list: a test that may fail.
 type knownFailure struct {
-	test  string
-	cause string
-	issue string
+	test    string
+	command string // runs the test, with the seed if it has one
+	seen    string // what the failing run showed
+	issue   string
 }
 
-// listLine matches the form "TestName: cause: issue". Cause and issue must not be blank and must
-// not contain a colon.
-var listLine = regexp.MustCompile(`^(Test[A-Za-z0-9_]*): ([^:]*[^: ][^:]*): ([^:]*[^: ][^:]*)$`)
+// listLine matches the form "TestName | command and seed | what was seen | issue". No field may
+// be blank or contain a vertical bar.
+var listLine = regexp.MustCompile(`^(Test[A-Za-z0-9_]*) \| ([^|]*[^| ][^|]*) \| ([^|]*[^| ][^|]*) \| ([^|]*[^| ][^|]*)$`)
 
 // parseList parses the list of tests that may fail. If there is no text, or only empty lines, the
 // list is empty.
@@ -48,12 +49,13 @@
 func parseLine(line string) (knownFailure, error) {
 	match := listLine.FindStringSubmatch(line)
 	if match == nil {
-		return knownFailure{}, fmt.Errorf("want \"TestName: cause: issue\", got %q", line)
+		return knownFailure{}, fmt.Errorf("want \"TestName | command and seed | what was seen | issue\", got %q", line)
 	}
 	return knownFailure{
-		test:  match[1],
-		cause: strings.TrimSpace(match[2]),
-		issue: strings.TrimSpace(match[3]),
+		test:    match[1],
+		command: strings.TrimSpace(match[2]),
+		seen:    strings.TrimSpace(match[3]),
+		issue:   strings.TrimSpace(match[4]),
 	}, nil
 }
 
--- a/internal/knownfailures/main.go
+++ b/internal/knownfailures/main.go
@@ -2,8 +2,8 @@
 // output of `go test -json` from standard input and prints the output of packages and of failed
 // tests. Only the tests listed in the file KNOWN-RED.txt of the current directory may fail.
 //
-// Each line of the file is "TestName: cause: issue", with three lines at most. A missing or empty
-// file lists no tests. The exit status is 0 if nothing but listed tests failed and each listed
+// Each line of the file is "TestName | command and seed | what was seen | issue", with three lines
+// at most. A missing or empty file lists no tests. The exit status is 0 if nothing but listed tests failed and each listed
 // test has run, else 1.
 package main
 
