--- a/cmd/edgenode/process_test.go
+++ b/cmd/edgenode/process_test.go
@@ -74,6 +74,12 @@
 		runMainVariable+"=1",
 		config.FileVariable+"="+configPath,
 		fmt.Sprintf("%s=%d", fileLimitVariable, maxFiles))
+	return startProcess(t, cmd)
+}
+
+// startProcess starts a command that runs edgenode, and waits until it listens.
+func startProcess(t *testing.T, cmd *exec.Cmd) *nodeProcess {
+	t.Helper()
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -15,6 +15,7 @@
 
 	"swiftpitch/internal/config"
 	"swiftpitch/internal/discovery"
+	"swiftpitch/internal/frontend"
 	"swiftpitch/internal/testsupport"
 )
 
@@ -53,6 +54,12 @@
 
 // startNode runs an edge node that knows endpoints s-0, s-1, ... at addrs.
 func startNode(t *testing.T, cfg Config, addrs ...string) *harness {
+	t.Helper()
+	return startNodeOn(t, cfg, testsupport.Listen(t), addrs...)
+}
+
+// startNodeOn is startNode on a given listener.
+func startNodeOn(t *testing.T, cfg Config, listener frontend.DeadlineListener, addrs ...string) *harness {
 	t.Helper()
 	for i, addr := range addrs {
 		cfg.CachedList.Instances = append(cfg.CachedList.Instances,
@@ -63,7 +70,6 @@
 		t.Fatal(err)
 	}
 	node.phases.acceptDuration = 10 * time.Millisecond
-	listener := testsupport.Listen(t)
 	ctx, stop := context.WithCancel(context.Background())
 	h := &harness{t: t, node: node, addr: listener.Addr().String(), stop: stop, done: make(chan error, 1)}
 	ended := make(chan struct{})
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -56,7 +56,7 @@
 }
 
 // serve is Run on an open listener.
-func (n *Node) serve(ctx context.Context, ln *net.TCPListener) error {
+func (n *Node) serve(ctx context.Context, ln frontend.DeadlineListener) error {
 	server := frontend.NewServer(ln, frontend.ServerConfig{
 		Handler:         n,
 		Tracker:         n.clientConns,
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 )
@@ -44,7 +43,7 @@
 }
 
 // NewServer returns a server on ln. It accepts no connections before [Server.Serve] is called.
-func NewServer(ln *net.TCPListener, config ServerConfig) *Server {
+func NewServer(ln DeadlineListener, config ServerConfig) *Server {
 	return &Server{
 		http: &http.Server{
 			Handler:           config.Handler,
