frontend: accept is retried after every error unless the listener is broken

Callers saw all connections of a node end at once, with no answer to the requests it had taken, and the process exit with status 1. Cause: class of bug: an error that passes is taken for a final one. net/http retries accept only after errors that call themselves temporary (EMFILE, ENFILE, EINTR and time-outs); ENOBUFS, ENOMEM, EPROTO, ENETDOWN and others that accept(2) names end Serve, and the node returned from serve without answering. Change: Listener.Accept pauses 1 to 50 ms and retries, and logs the first failure of a series and its end; only EBADF, EFAULT, EINVAL, ENOTSOCK and a closed listener end it. Related paths: a broken listener and a panic of the policy closed open connections without an answer; both now go through the shutdown, which answers open requests.

--- a/internal/edge/accept_test.go
+++ b/internal/edge/accept_test.go
@@ -7,7 +7,9 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
+	"swiftpitch/internal/policy"
 	"swiftpitch/internal/testsupport"
 )
 
@@ -56,3 +58,39 @@
 		})
 	}
 }
+
+// Guards against requests that are lost when the node ends because it can accept no more
+// connections, or because its policy has panicked: they get an answer first.
+func TestNodeThatMustEndAnswersOpenRequests(t *testing.T) {
+	endings := map[string]func(h *harness, listener *failingListener){
+		"the listener is broken": func(h *harness, listener *failingListener) {
+			listener.errors <- os.NewSyscallError("accept4", syscall.EBADF)
+			h.dial() // lets the blocked call of accept return
+		},
+		"the policy panics": func(h *harness, _ *failingListener) {
+			h.node.mu.Lock()
+			defer h.node.mu.Unlock()
+			h.node.gateway = panickingGateway{}
+			h.node.dispatch(policy.TimerFired{})
+		},
+	}
+	for name, end := range endings {
+		t.Run(name, func(t *testing.T) {
+			endpoint := testsupport.StartFakeServer(t, func(net.Conn, *http.Request, []byte) bool { return true }) // never responds
+			listener := &failingListener{TCPListener: testsupport.Listen(t), errors: make(chan error, 1)}
+			h := startNodeOn(t, testConfig(t), listener, endpoint.Addr)
+			h.node.phases.answerTimeout = 50 * time.Millisecond // long before the request's deadline
+			h.node.phases.writeDuration = testsupport.MaxWait
+			c := h.dial()
+			io.WriteString(c, clientRequest("merge", "00000000000000aa"))
+			testsupport.Eventually(t, "the attempt", func() bool { return len(endpoint.Requests()) == 1 })
+			end(h, listener)
+			if resp, _ := c.readResponse(); resp.StatusCode != http.StatusGatewayTimeout || !resp.Close {
+				t.Errorf("status %d, Connection: close %v, want %d, true", resp.StatusCode, resp.Close, http.StatusGatewayTimeout)
+			}
+			if err := testsupport.Receive(t, "the end of the node", h.done); err == nil {
+				t.Error("the node ended without an error")
+			}
+		})
+	}
+}
--- a/internal/edge/disconnect_test.go
+++ b/internal/edge/disconnect_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -263,7 +264,7 @@
 func (h *harness) disconnectedClient() (context.Context, *frontend.Conn) {
 	h.t.Helper()
 	tracker := frontend.NewTracker(1, frontend.NewMemoryBudget(0))
-	client, accepted := testsupport.Connect(h.t, frontend.NewListener(testsupport.Listen(h.t), tracker))
+	client, accepted := testsupport.Connect(h.t, frontend.NewListener(testsupport.Listen(h.t), tracker, slog.New(slog.DiscardHandler)))
 	ctx := tracker.ConnContext(context.Background(), accepted)
 	conn := frontend.ConnFromContext(ctx)
 	if got := socket.Peek(conn.Conn); got != socket.NoData {
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -70,9 +70,14 @@
 	n.log.Info("serving", "listen", ln.Addr().String())
 	select {
 	case err := <-served:
-		return fmt.Errorf("serving clients: %w", err)
+		n.log.Error("the listener is broken", "err", err)
+		served <- err // for shutDown
+		return errors.Join(fmt.Errorf("serving clients: %w", err), n.shutDown(server, served))
 	case err := <-n.fatalError:
-		return errors.Join(err, server.Close())
+		n.mu.Lock()
+		n.failPending()
+		n.mu.Unlock()
+		return errors.Join(err, n.shutDown(server, served))
 	case <-ctx.Done():
 		return n.shutDown(server, served)
 	}
@@ -88,7 +93,7 @@
 	n.mu.Unlock()
 	server.StartDraining()
 	if err := server.StopAccepting(requestedAt.Add(n.phases.acceptDuration)); err != nil {
-		return err
+		n.log.Warn("the listener is closed", "err", err) // Serve has returned or is about to
 	}
 	<-served
 	server.StopReading(time.Now().Add(n.phases.readDuration))
@@ -96,13 +101,18 @@
 	n.mu.Lock()
 	n.afterFunc(time.Until(failAt), n.failPending)
 	n.mu.Unlock()
+	n.awaitAllClosed(server, failAt.Add(n.phases.writeDuration))
+	return server.Close()
+}
+
+// awaitAllClosed waits until no client is connected any more, or for the deadline.
+func (n *Node) awaitAllClosed(server *frontend.Server, deadline time.Time) {
 	select {
 	case <-server.AllClosed():
 		n.log.Info("drained")
-	case <-time.After(time.Until(failAt.Add(n.phases.writeDuration))):
+	case <-time.After(time.Until(deadline)):
 		n.log.Warn("connections left open at the end of draining")
 	}
-	return server.Close()
 }
 
 // failPending gives all open requests their final answer, because the process is about to be
--- a/internal/edge/shutdown_test.go
+++ b/internal/edge/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -110,7 +111,7 @@
 func connectAndEvict(t *testing.T, text string) context.Context {
 	t.Helper()
 	tracker := frontend.NewTracker(1, frontend.NewMemoryBudget(0))
-	listener := frontend.NewListener(testsupport.Listen(t), tracker)
+	listener := frontend.NewListener(testsupport.Listen(t), tracker, slog.New(slog.DiscardHandler))
 	client, conn := testsupport.Connect(t, listener)
 	ctx := tracker.ConnContext(context.Background(), conn)
 	io.WriteString(client, text)
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -3,14 +3,26 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
+	"syscall"
 	"time"
 )
 
-// backlogDrainTimeout limits how long the connections that wait in the kernel's backlog are
-// accepted once the listener's deadline has passed.
-const backlogDrainTimeout = 10 * time.Millisecond
+const (
+	// backlogDrainTimeout limits how long the connections that wait in the kernel's backlog are
+	// accepted once the listener's deadline has passed.
+	backlogDrainTimeout = 10 * time.Millisecond
+	// minAcceptRetryDelay and maxAcceptRetryDelay bound the pause after a failed accept. It
+	// doubles with each failure in a row.
+	minAcceptRetryDelay = time.Millisecond
+	maxAcceptRetryDelay = 50 * time.Millisecond
+)
+
+// brokenListenerErrors are the errors of accept(2) with which no later call can succeed. All
+// others concern one connection or a resource that may become free again.
+var brokenListenerErrors = []error{net.ErrClosed, syscall.EBADF, syscall.EFAULT, syscall.EINVAL, syscall.ENOTSOCK}
 
 // DeadlineListener is a listener whose Accept fails with [os.ErrDeadlineExceeded] once a deadline
 // has passed, such as a [net.TCPListener].
@@ -21,20 +33,40 @@
 
 // Listener accepts connections as [Conn]. Once its deadline has passed, Accept returns
 // [net.ErrClosed], which ends the Serve method of net/http. A timeout error would not:
-// net/http takes it for a temporary error and retries forever.
+// net/http takes it for a temporary error and retries forever. Accept retries after other
+// errors, which net/http does for few of them only, unless the listener is broken.
 type Listener struct {
 	DeadlineListener
 	tracker         *Tracker
+	log             *slog.Logger
 	drainingBacklog bool // the deadline has passed, and only the backlog is still accepted
+	failures        int  // calls of accept that failed in a row
 }
 
-// NewListener returns a listener on ln whose connections are recorded by tracker.
-func NewListener(ln DeadlineListener, tracker *Tracker) *Listener {
-	return &Listener{DeadlineListener: ln, tracker: tracker}
+// NewListener returns a listener on ln whose connections are recorded by tracker. It logs when
+// accept begins to fail and when it works again.
+func NewListener(ln DeadlineListener, tracker *Tracker, log *slog.Logger) *Listener {
+	return &Listener{DeadlineListener: ln, tracker: tracker, log: log}
 }
 
 // Accept implements [net.Listener]. Only one goroutine may call it.
 func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.acceptUntilDeadline()
+		if err == nil {
+			l.recordSuccess()
+			return newConn(conn, l.tracker), nil
+		}
+		if isBroken(err) {
+			return nil, err
+		}
+		time.Sleep(l.recordFailure(err))
+	}
+}
+
+// acceptUntilDeadline accepts one connection. Once the deadline has passed and the backlog is
+// empty, it returns [net.ErrClosed].
+func (l *Listener) acceptUntilDeadline() (net.Conn, error) {
 	conn, err := l.DeadlineListener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) && !l.drainingBacklog {
 		// It fails without checking the backlog. Closing the listener now would reset
@@ -48,8 +80,36 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, net.ErrClosed
 	}
-	if err != nil {
-		return nil, err
+	return conn, err
+}
+
+// isBroken reports whether no call of accept can succeed after an error.
+func isBroken(err error) bool {
+	for _, broken := range brokenListenerErrors {
+		if errors.Is(err, broken) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordFailure counts a failed accept and returns the pause before the next one.
+func (l *Listener) recordFailure(err error) time.Duration {
+	if l.failures == 0 {
+		l.log.Warn("accept fails", "err", err)
+	}
+	delay := maxAcceptRetryDelay
+	if doubled := minAcceptRetryDelay << min(l.failures, 10); doubled < delay {
+		delay = doubled
+	}
+	l.failures++
+	return delay
+}
+
+// recordSuccess ends a series of failures.
+func (l *Listener) recordSuccess() {
+	if l.failures > 0 {
+		l.log.Info("accept works again", "failures", l.failures)
+		l.failures = 0
 	}
-	return newConn(conn, l.tracker), nil
 }
--- a/internal/frontend/listener_test.go
+++ b/internal/frontend/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -13,7 +14,7 @@
 // deadline passes: they are still accepted.
 func TestListenerDrainsBacklog(t *testing.T) {
 	listener := testsupport.Listen(t)
-	l := NewListener(listener, NewTracker(1, NewMemoryBudget(testMemory)))
+	l := NewListener(listener, NewTracker(1, NewMemoryBudget(testMemory)), slog.New(slog.DiscardHandler))
 	c, err := net.Dial("tcp", listener.Addr().String()) // returns once the connection is in the backlog
 	if err != nil {
 		t.Fatal(err)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -29,7 +29,7 @@
 	Handler         http.Handler
 	Tracker         *Tracker      // must not be shared with another server
 	LongestDeadline time.Duration // the longest time that a client waits for a response
-	Log             *slog.Logger  // receives net/http's messages at level Debug
+	Log             *slog.Logger  // also receives net/http's messages, at level Debug
 }
 
 // Server serves HTTP to clients on one listener.
@@ -56,7 +56,7 @@
 			ConnContext:       config.Tracker.ConnContext,
 			ErrorLog:          slog.NewLogLogger(config.Log.Handler(), slog.LevelDebug),
 		},
-		listener: NewListener(ln, config.Tracker),
+		listener: NewListener(ln, config.Tracker, config.Log),
 		tracker:  config.Tracker,
 	}
 }
--- a/internal/frontend/tracker_test.go
+++ b/internal/frontend/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"testing"
@@ -97,7 +98,7 @@
 // yet: another connection is evicted, even if it has been idle for a shorter time.
 func TestEvictionSparesUnreadRequest(t *testing.T) {
 	tracker := NewTracker(2, NewMemoryBudget(testMemory))
-	listener := NewListener(testsupport.Listen(t), tracker)
+	listener := NewListener(testsupport.Listen(t), tracker, slog.New(slog.DiscardHandler))
 	client, conn := connect(t, listener)
 	_, idle := connect(t, listener)
 	_, incoming := connect(t, listener)
@@ -146,7 +147,7 @@
 // maxEvicting of them end at a time, and then new connections are closed.
 func TestEvictionIsBounded(t *testing.T) {
 	tracker := NewTracker(2*maxEvicting, NewMemoryBudget(testMemory))
-	listener := NewListener(testsupport.Listen(t), tracker)
+	listener := NewListener(testsupport.Listen(t), tracker, slog.New(slog.DiscardHandler))
 	for range 2 * maxEvicting {
 		_, c := connect(t, listener)
 		c.requestStarted = true
