Test of unread data builds its text before the write deadline starts

Under the race detector the 64 MB text took longer than the write deadline of 200 ms, so nothing was written and the wait for the read-ahead timed out (traced with the counts of the tracker). The text is built first, and 16 MB suffice to fill the buffers of both ends (4.2 MB were taken).

--- a/internal/edge/unreaddata_test.go
+++ b/internal/edge/unreaddata_test.go
@@ -11,7 +11,7 @@
 )
 
 // unlimitedData is far more than the buffers of a connection's two ends hold.
-const unlimitedData = 64 << 20
+const unlimitedData = 16 << 20
 
 // writeTimeout is how long a client of these tests waits for a connection that takes no more data.
 const writeTimeout = 200 * time.Millisecond
@@ -37,8 +37,9 @@
 	io.WriteString(c, clientRequest("lookup", "00000000000000aa"))
 	testsupport.Eventually(t, "the attempt", func() bool { return len(requests()) == 1 })
 	next := clientRequest("lookup", "00000000000000bb")
+	text := strings.Repeat(next, size/len(next))
 	c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	io.WriteString(c, strings.Repeat(next, size/len(next)))
+	io.WriteString(c, text)
 	awaitReadAhead(h, int(min(memory, frontend.MaxReadAheadBytes)))
 	c.Close()
 	close(release)
