edgenode: neither a closed nor a blocked log ends or stops the process

A node's process ended by itself: a write to standard error whose reader has gone raises SIGPIPE, which ends a Go program; and a full pipe would block whoever logs, also while the node's lock is held. Change: SIGPIPE is ignored, and the log goes through internal/asyncwriter, which never blocks: 256 lines may wait, further ones are dropped and counted. Measured: without the ignored signal TestProcessOutlivesReaderOfItsLog fails at its first request (connection reset); with it 100 requests are answered after the log's reader has gone.

--- a/cmd/edgenode/main.go
+++ b/cmd/edgenode/main.go
@@ -17,16 +17,26 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"swiftpitch/internal/asyncwriter"
 	"swiftpitch/internal/config"
 	"swiftpitch/internal/discovery"
 	"swiftpitch/internal/edge"
 )
 
+const (
+	// maxPendingLogLines limits the lines of the log that are not written yet.
+	maxPendingLogLines = 256
+	// logFlushTimeout limits how long the end of the process waits for the log.
+	logFlushTimeout = 20 * time.Millisecond
+)
+
 func main() {
 	// SIGHUP is caught before anything else, because it ends the process if it is not caught.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // it would end the process at a write to a log that nobody reads
 	if err := run(hangup); err != nil {
 		fmt.Fprintln(os.Stderr, "edgenode:", err)
 		os.Exit(1)
@@ -35,7 +45,9 @@
 
 // run serves until SIGTERM or SIGINT, and reloads the configuration at each signal on hangup.
 func run(hangup <-chan os.Signal) error {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	logOutput := asyncwriter.New(os.Stderr, maxPendingLogLines)
+	defer logOutput.Close(logFlushTimeout)
+	log := slog.New(slog.NewTextHandler(logOutput, nil))
 	path := os.Getenv(config.FileVariable)
 	cfg, limits, err := load(path)
 	if err != nil {
