No attempt begins for a client that left behind data that is not read

Cause: the end of a connection was found only by reading up to it, and reading ahead stops at 80 KiB or at the end of the memory budget; a request taken from the read-ahead buffer was checked less. Class of bug: what is not known was taken for the good case. Change: the kernel is asked for the end behind data (POLLRDHUP), and while reading is behind and the kernel holds data, the client counts as unverified: no further attempt (outcome NotSent), and further requests are rejected with 429, which promises that they did not run. A scanner of request ends now tells whether a request was begun on a connection; before, bytes in net/http's buffer were not seen, so that such a connection counted as idle.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -134,13 +134,14 @@
 // runAttempt executes an attempt on conn, or on a new connection if conn is nil. It runs in
 // the attempt's goroutine; the caller does not hold n.mu.
 func (n *Node) runAttempt(ctx context.Context, a *attempt, conn *upstream.Conn, text net.Buffers) {
+	outcome := policy.NotSent
 	if conn == nil {
-		conn = n.dialForAttempt(ctx, a)
+		conn, outcome = n.dialForAttempt(ctx, a)
 	} else {
-		conn = n.reuseForAttempt(a, conn)
+		conn, outcome = n.reuseForAttempt(a, conn)
 	}
 	if conn == nil {
-		n.endUnwritten(a)
+		n.endUnwritten(a, outcome)
 		return
 	}
 	writtenAt := time.Now()
@@ -149,64 +150,68 @@
 }
 
 // dialForAttempt dials a connection for an attempt, for which a slot of the pool is
-// reserved. It returns nil if the dial fails, the node has closed or the attempt may no longer
-// be written.
-func (n *Node) dialForAttempt(ctx context.Context, a *attempt) *upstream.Conn {
+// reserved. It returns nil and the attempt's outcome if the dial fails, the node has closed or
+// the attempt may no longer be written.
+func (n *Node) dialForAttempt(ctx context.Context, a *attempt) (*upstream.Conn, policy.Outcome) {
 	netConn, err := n.dial(ctx, "tcp", a.addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	conn := n.completeDial(netConn, err, a.endpoint, a.addr)
 	if conn == nil {
-		return nil
+		return nil, policy.ConnectFailed
 	}
-	if !n.claimConn(a, conn) {
+	if outcome, ok := n.claimConn(a, conn); !ok {
 		n.pool.Release(conn) // nothing was written: the next request can use it
-		return nil
+		return nil, outcome
 	}
-	return conn
+	return conn, policy.NotSent
 }
 
-// reuseForAttempt assigns an idle connection to an attempt and returns it. It returns nil if
-// the attempt has ended or may no longer be written.
-func (n *Node) reuseForAttempt(a *attempt, conn *upstream.Conn) *upstream.Conn {
+// reuseForAttempt assigns an idle connection to an attempt and returns it. It returns nil and
+// the attempt's outcome if the attempt has ended or may no longer be written.
+func (n *Node) reuseForAttempt(a *attempt, conn *upstream.Conn) (*upstream.Conn, policy.Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !a.ended && n.claimConn(a, conn) {
-		return conn
-	}
 	if a.ended { // endAttempt has closed the connection
 		n.pool.Evict(conn)
-		return nil
+		return nil, policy.NotSent
+	}
+	outcome, ok := n.claimConn(a, conn)
+	if ok {
+		return conn, policy.NotSent
+	}
+	if a.ended { // claimConn has ended it, because the client has disconnected
+		n.pool.Evict(conn)
+		return nil, outcome
 	}
 	a.conn = nil
 	n.pool.Release(conn)
-	return nil
+	return nil, outcome
 }
 
-// claimConn assigns a connection to an attempt, just before the first byte is written. It
-// reports false if the attempt may no longer be written. The caller holds n.mu.
-func (n *Node) claimConn(a *attempt, conn *upstream.Conn) bool {
+// claimConn assigns a connection to an attempt, just before the first byte is written. If the
+// attempt may no longer be written, it returns false and the attempt's outcome. The caller
+// holds n.mu.
+func (n *Node) claimConn(a *attempt, conn *upstream.Conn) (policy.Outcome, bool) {
 	now := time.Now()
-	n.detectDisconnect(a.request, now)
-	if a.ended || a.request.answered {
-		return false
+	if !n.confirmClient(a.request, now) || a.ended {
+		return policy.NotSent, false // the endpoint is not at fault
 	}
 	if !n.pool.AcceptsAttempts(a.endpoint, now) || !a.withinDedupWindow(now) {
-		return false
+		return policy.ConnectFailed, false
 	}
 	a.conn = conn
-	return true
+	return policy.NotSent, true
 }
 
 // endUnwritten ends an attempt that was not written to any connection.
-func (n *Node) endUnwritten(a *attempt) {
+func (n *Node) endUnwritten(a *attempt, outcome policy.Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if a.request.answered { // the endpoint is not at fault
-		n.endAttempt(a, policy.NotSent)
-		return
+		outcome = policy.NotSent
 	}
-	n.endAttempt(a, policy.ConnectFailed)
+	n.endAttempt(a, outcome)
 }
 
 // handleResponse ends an attempt with the endpoint's response and returns its connection to
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -40,7 +40,7 @@
 		respondMalformed(w, err)
 		return
 	}
-	n.respond(w, n.awaitAnswer(req, r))
+	n.respond(w, r.conn, n.awaitAnswer(req, r))
 }
 
 // isReadinessCheck reports whether a request asks if this node is ready.
@@ -81,6 +81,9 @@
 	if conn != nil && !conn.AcceptRequest() {
 		panic(http.ErrAbortHandler)
 	}
+	if conn != nil {
+		parsed.SetArrival(conn.RequestArrival())
+	}
 	r := newRequest(&parsed, conn)
 	if !n.receive(r, parsed.Event) {
 		return nil, errDuplicateID
@@ -105,12 +108,13 @@
 	panic(http.ErrAbortHandler) // returning would send a response with status 200
 }
 
-// respond writes a request's final answer.
-func (n *Node) respond(w http.ResponseWriter, a answer) {
+// respond writes a request's final answer. While the node drains, the connection closes after it,
+// unless part of a further request was read on it already.
+func (n *Node) respond(w http.ResponseWriter, conn *frontend.Conn, a answer) {
 	header := w.Header()
 	header["Content-Length"] = []string{strconv.Itoa(len(a.body))}
 	header["Content-Type"] = a.contentType // from the endpoint; nil keeps net/http from guessing one
-	if n.clientConns.Draining() {
+	if n.clientConns.Draining() && (conn == nil || !conn.HasFurtherRequest()) {
 		header.Set("Connection", "close")
 	}
 	if a.retryAfter > 0 {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	r.answer = make(chan answer, 1)
-	if n.rejecting {
+	if n.rejecting || r.clientPresence() == frontend.Unverified {
 		r.answered = true
 		r.answer <- answer{status: statusRejected}
 		return true
@@ -102,13 +102,27 @@
 	n.abort(r, answer{})
 }
 
-// detectDisconnect checks before an attempt whether the client has disconnected, and ends the
-// request if so. It does that for requests older than disconnectCheckAge, because the goroutine
-// that reads the connection may not have been scheduled yet. The caller holds n.mu.
-func (n *Node) detectDisconnect(r *request, now time.Time) {
-	if r.conn != nil && !r.answered && now.Sub(r.receivedAt) > disconnectCheckAge && r.conn.DetectDisconnect() {
+// clientPresence returns whether the request's client is still connected, as far as known.
+func (r *request) clientPresence() frontend.Presence {
+	if r.conn == nil {
+		return frontend.Connected
+	}
+	return r.conn.Presence()
+}
+
+// confirmClient reports whether an attempt may begin as far as the client is concerned: an
+// attempt for a client that has disconnected is work for nobody. It ends the request if the client
+// has disconnected. It checks only requests older than disconnectCheckAge, because until then
+// it is early enough if the goroutine that reads the connection notices. The caller holds n.mu.
+func (n *Node) confirmClient(r *request, now time.Time) bool {
+	if r.answered || now.Sub(r.receivedAt) <= disconnectCheckAge {
+		return !r.answered
+	}
+	presence := r.clientPresence()
+	if presence == frontend.Disconnected {
 		n.clientDisconnectedLocked(r)
 	}
+	return presence == frontend.Connected
 }
 
 // abort gives a request its final answer without the policy, and notifies the policy that the
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -29,17 +29,19 @@
 
 	// The tracker's lock guards the fields below.
 
-	idleSince          time.Time     // when the connection was accepted or its last request was answered
-	idle               bool          // the last request is answered, and no byte of the next one was read
-	requestStarted     bool          // part of a request was read that is not accepted yet
-	nextRequestStarted bool          // part of the next request was read while one was in flight
-	hasSentRequest     bool          // the client has sent at least one complete request
-	busy               bool          // a complete request is in flight
-	closedLocally      bool          // the node closed the connection between requests
-	evicting           bool          // reading was stopped to evict the connection, unless its request turns out to be complete
-	serverDeadline     time.Time     // read deadline set by net/http; zero: none
-	stopReadingAt      time.Time     // read deadline set by the tracker; zero: none
-	evictionEnded      chan struct{} // closed when the eviction ends: the connection has ended or is kept; nil: never evicted
+	idleSince      time.Time // when the connection was accepted or its last request was answered
+	idle           bool      // the last request is answered, and no byte of the next one was read
+	requestStarted bool      // part of a request was read that is not accepted yet
+	scanner        requestScanner
+	answered       int           // requests whose responses were written
+	arrivedAt      time.Time     // arrival of the last data passed to net/http, or a time before it
+	hasSentRequest bool          // the client has sent at least one complete request
+	busy           bool          // a complete request is in flight
+	closedLocally  bool          // the node closed the connection between requests
+	evicting       bool          // reading was stopped to evict the connection, unless its request turns out to be complete
+	serverDeadline time.Time     // read deadline set by net/http; zero: none
+	stopReadingAt  time.Time     // read deadline set by the tracker; zero: none
+	evictionEnded  chan struct{} // closed when the eviction ends: the connection has ended or is kept; nil: never evicted
 }
 
 func newConn(conn net.Conn, tracker *Tracker) *Conn {
@@ -62,13 +64,22 @@
 	// While a request is in flight, net/http reads one byte to detect that the client
 	// disconnects. Once it has got a byte it stops, and the read-ahead takes over.
 	isDisconnectCheck := len(b) == 1
-	count, err := c.read(b)
+	count, arrivedAt, err := c.read(b)
 	for isDisconnectCheck && errors.Is(err, os.ErrDeadlineExceeded) && c.resumeReading() {
-		count, err = c.read(b)
+		count, arrivedAt, err = c.read(b)
 	}
 	if count == 0 {
 		return 0, err
 	}
+	if isDisconnectCheck {
+		return c.recordNextRequest(b[:count], err)
+	}
+	return c.recordRead(b[:count], arrivedAt, err)
+}
+
+// recordRead records data that was read for net/http and returns how many bytes may be passed
+// on to it. err is the error of the read.
+func (c *Conn) recordRead(data []byte, arrivedAt time.Time, err error) (int, error) {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
 	if c.closedLocally {
@@ -76,21 +87,36 @@
 	}
 	c.idle = false
 	c.requestStarted = true
-	if isDisconnectCheck {
-		c.nextRequestStarted = true
-		if c.readAhead.Load() == nil {
-			c.readAhead.Store(newReadAhead(c.Conn, c.tracker.memory, c.disconnected))
-		}
+	c.arrivedAt = arrivedAt
+	c.scanner.scan(data)
+	return len(data), err
+}
+
+// recordNextRequest records the byte that net/http has got in its check for a disconnect, and
+// starts the read-ahead. err is the error of the read.
+func (c *Conn) recordNextRequest(data []byte, err error) (int, error) {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if c.closedLocally {
+		return 0, io.EOF
+	}
+	c.idle = false
+	c.requestStarted = true
+	c.scanner.scan(data)
+	if c.readAhead.Load() == nil {
+		c.readAhead.Store(newReadAhead(c.Conn, c.tracker.memory, c.disconnected))
 	}
-	return count, err
+	return len(data), err
 }
 
-// read reads from the read-ahead buffer if there is one, else from the connection.
-func (c *Conn) read(b []byte) (int, error) {
+// read reads from the read-ahead buffer if there is one, else from the connection. arrivedAt is
+// when the first byte arrived, or a time before it.
+func (c *Conn) read(b []byte) (count int, arrivedAt time.Time, err error) {
 	if ahead := c.readAhead.Load(); ahead != nil {
 		return ahead.Read(b)
 	}
-	return c.Conn.Read(b)
+	count, err = c.Conn.Read(b)
+	return count, time.Now(), err
 }
 
 // SetReadDeadline implements [net.Conn]; net/http calls it. It replaces a deadline of the
@@ -159,14 +185,65 @@
 func (c *Conn) Disconnected() <-chan struct{} { return c.disconnected }
 
 // DetectDisconnect reports whether the client has disconnected. If that is not known yet, it
-// peeks at the socket, because the kernel may hold an end of stream that is not read yet.
+// asks the kernel, which may hold an end of stream that is not read yet, also behind data.
 func (c *Conn) DetectDisconnect() bool {
 	select {
 	case <-c.disconnected:
 		return true
 	default:
-		return socket.Peek(c.Conn) == socket.Closed
 	}
+	switch socket.Peek(c.Conn) {
+	case socket.Closed:
+		return true
+	case socket.Readable:
+		return socket.PeerHasClosed(c.Conn)
+	default:
+		return false
+	}
+}
+
+// Presence is what is known of a client whose request is in flight.
+type Presence int
+
+// The values of [Presence].
+const (
+	// Connected means that the client has not disconnected, as far as the kernel knows.
+	Connected Presence = iota
+	// Disconnected means that the client has closed its connection or reset it.
+	Disconnected
+	// Unverified means that the client has sent more data than is read ahead. It may have
+	// disconnected behind data that the kernel holds or has not taken yet.
+	Unverified
+)
+
+// Presence returns whether the client is still connected.
+func (c *Conn) Presence() Presence {
+	if c.DetectDisconnect() {
+		return Disconnected
+	}
+	ahead := c.readAhead.Load()
+	if ahead != nil && ahead.behind() && socket.Peek(c.Conn) == socket.Readable {
+		return Unverified
+	}
+	return Connected
+}
+
+// RequestArrival returns when the last byte of the request that was just read arrived, or a time
+// before it if the client sent it while an earlier request was in flight.
+func (c *Conn) RequestArrival() time.Time {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	return c.arrivedAt
+}
+
+// HasFurtherRequest reports whether part of another request was read behind the one in flight.
+func (c *Conn) HasFurtherRequest() bool {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if ahead := c.readAhead.Load(); ahead != nil && ahead.buffered() > 0 {
+		return true
+	}
+	return c.scanner.started || c.scanner.completed > c.answered+1
 }
 
 // AcceptRequest marks the connection as busy with a request that was read completely and
--- a/internal/frontend/readahead.go
+++ b/internal/frontend/readahead.go
@@ -17,8 +17,16 @@
 	// read without a reservation of memory: it holds a stray line end or a request of usual
 	// size.
 	ReadAheadChunkBytes = 512
+	// arrivalResolution is the difference up to which arrivals of data count as one.
+	arrivalResolution = 10 * time.Millisecond
 )
 
+// arrival is when a part of the buffered data arrived, or a time before it.
+type arrival struct {
+	at    time.Time
+	bytes int // buffered bytes of that time
+}
+
 // readAhead reads a connection whose client sends more data while a request is in flight,
 // because the client's disconnect is only detected by reading on. The data is buffered for
 // Read. Its own goroutine reads the connection, in run; Read, setReadDeadline, buffered and
@@ -31,9 +39,13 @@
 	mu       sync.Mutex
 	changed  *sync.Cond // signals that a field below has changed
 	buffer   []byte     // data read and not yet consumed
+	arrivals []arrival  // of the data in buffer, in its order
 	reserved int64      // bytes reserved in the memory budget
-	err      error      // the read error that ended the connection
-	timedOut bool       // the read deadline has passed, and none was set since
+	// behindSince is when reading last had to wait for capacity, if the kernel may hold data
+	// since then; else zero.
+	behindSince time.Time
+	err         error // the read error that ended the connection
+	timedOut    bool  // the read deadline has passed, and none was set since
 	// deadlineVersion counts the deadlines that were set. A read that hit one deadline may
 	// return after the next one was set; its timeout is then ignored.
 	deadlineVersion int
@@ -58,7 +70,7 @@
 			return
 		}
 		count, err := a.conn.Read(chunk[:size])
-		if !a.store(chunk[:count], err, version) {
+		if !a.store(chunk[:count], size, err, version) {
 			return
 		}
 	}
@@ -71,6 +83,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for !a.closed && (a.timedOut || !a.reserve()) {
+		if a.behindSince.IsZero() {
+			a.behindSince = time.Now()
+		}
 		a.changed.Wait()
 	}
 	return min(ReadAheadChunkBytes, MaxReadAheadBytes-len(a.buffer)), a.deadlineVersion, !a.closed
@@ -88,11 +103,15 @@
 	return len(a.buffer) < MaxReadAheadBytes
 }
 
-// store records the result of one read and reports whether reading continues.
-func (a *readAhead) store(chunk []byte, err error, deadlineVersion int) bool {
+// store records the result of one read of up to size bytes and reports whether reading continues.
+func (a *readAhead) store(chunk []byte, size int, err error, deadlineVersion int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.buffer = append(a.buffer, chunk...)
+	a.recordArrival(len(chunk))
+	if len(chunk) < size { // the kernel holds no more data
+		a.behindSince = time.Time{}
+	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		a.timedOut = deadlineVersion == a.deadlineVersion
@@ -103,33 +122,67 @@
 	return a.err == nil
 }
 
-// Read returns buffered data. If there is none, it waits for some until the deadline.
-func (a *readAhead) Read(b []byte) (int, error) {
+// recordArrival records when data that was just read arrived. The lock is held.
+func (a *readAhead) recordArrival(bytes int) {
+	at := a.behindSince
+	if at.IsZero() {
+		at = time.Now()
+	}
+	if last := len(a.arrivals) - 1; last >= 0 && at.Sub(a.arrivals[last].at) < arrivalResolution {
+		a.arrivals[last].bytes += bytes
+		return
+	}
+	a.arrivals = append(a.arrivals, arrival{at: at, bytes: bytes})
+}
+
+// behind reports whether the kernel may hold data that could not be read ahead.
+func (a *readAhead) behind() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.behindSince.IsZero()
+}
+
+// Read returns buffered data that arrived together, and when it arrived, or a time before it. If
+// there is none, it waits for some until the deadline.
+func (a *readAhead) Read(b []byte) (count int, arrivedAt time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for len(a.buffer) == 0 {
 		switch {
 		case a.err != nil:
-			return 0, a.err
+			return 0, time.Time{}, a.err
 		case a.closed:
-			return 0, net.ErrClosed
+			return 0, time.Time{}, net.ErrClosed
 		case a.timedOut:
-			return 0, os.ErrDeadlineExceeded
+			return 0, time.Time{}, os.ErrDeadlineExceeded
 		}
 		a.changed.Wait()
 	}
-	count := copy(b, a.buffer)
+	count, arrivedAt = a.consume(b)
+	a.changed.Broadcast()
+	return count, arrivedAt, nil
+}
+
+// consume moves data that arrived together from the buffer to b. The lock is held.
+func (a *readAhead) consume(b []byte) (count int, arrivedAt time.Time) {
+	first := &a.arrivals[0]
+	arrivedAt = first.at
+	count = copy(b, a.buffer[:first.bytes])
 	a.buffer = a.buffer[count:]
+	first.bytes -= count
+	if first.bytes == 0 {
+		a.arrivals = a.arrivals[1:]
+	}
 	if len(a.buffer) == 0 {
 		a.release()
 	}
-	a.changed.Broadcast()
-	return count, nil
+	return count, arrivedAt
 }
 
 // release drops the buffer and returns its memory to the budget. The lock is held.
 func (a *readAhead) release() {
 	a.buffer = nil
+	a.arrivals = nil
 	a.memory.Release(a.reserved)
 	a.reserved = 0
 }
--- a/internal/frontend/readahead_test.go
+++ b/internal/frontend/readahead_test.go
@@ -18,19 +18,19 @@
 	disconnected := make(chan struct{})
 	a := newReadAhead(serverConn, NewMemoryBudget(testMemory), disconnected)
 	a.setReadDeadline(time.Unix(1, 0))
-	if _, err := a.Read(make([]byte, 1)); err == nil || !err.(net.Error).Timeout() {
+	if _, _, err := a.Read(make([]byte, 1)); err == nil || !err.(net.Error).Timeout() {
 		t.Errorf("Read after its deadline: error %v, want a timeout", err)
 	}
 	a.setReadDeadline(time.Time{})
 	go io.WriteString(clientConn, "x")
 	b := make([]byte, 2)
-	if n, err := a.Read(b); n != 1 || err != nil || b[0] != 'x' {
+	if n, _, err := a.Read(b); n != 1 || err != nil || b[0] != 'x' {
 		t.Errorf("Read after the deadline was removed: %q, error %v; want %q", b[:n], err, "x")
 	}
 	serverConn.Close()
 	a.close()
 	testsupport.Receive(t, "the end of the connection", disconnected)
-	if _, err := a.Read(b); err == nil {
+	if _, _, err := a.Read(b); err == nil {
 		t.Error("Read on a closed connection returned no error")
 	}
 }
@@ -90,7 +90,7 @@
 	testsupport.Receive(t, "the read after the timeout", c.reads)
 	c.results <- nil
 	b := make([]byte, 2)
-	if n, err := a.Read(b); n != 1 || err != nil {
+	if n, _, err := a.Read(b); n != 1 || err != nil {
 		t.Errorf("Read returned %q, error %v; want one byte", b[:n], err)
 	}
 	testsupport.Receive(t, "the last read", c.reads)
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -50,6 +50,17 @@
 	DedupWindow time.Duration
 }
 
+// SetArrival corrects when the last byte of the request arrived, if that was before it was read.
+// The time that the client still waits becomes shorter, and may be negative.
+func (r *Request) SetArrival(at time.Time) {
+	if at.IsZero() || at.After(r.ReceivedAt) {
+		return
+	}
+	r.Event.Timeout -= r.ReceivedAt.Sub(at)
+	r.Deadline = r.Deadline.Add(at.Sub(r.ReceivedAt))
+	r.ReceivedAt = at
+}
+
 // Parser validates clients' requests against the settings. It is stateless and may be used
 // by any number of goroutines.
 type Parser struct{ settings *config.Settings }
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -201,8 +201,8 @@
 
 // requestAnswered records that a connection's request was answered. The lock is held.
 func (t *Tracker) requestAnswered(c *Conn) {
-	c.requestStarted = c.nextRequestStarted
-	c.nextRequestStarted = false
+	c.answered++
+	c.requestStarted = c.scanner.started || c.scanner.completed > c.answered
 	c.idle = !c.requestStarted
 	c.busy = false
 	c.idleSince = time.Now()
--- a/internal/frontend/tracker_test.go
+++ b/internal/frontend/tracker_test.go
@@ -22,7 +22,7 @@
 		tracker := NewTracker(1, NewMemoryBudget(testMemory))
 		tracker.draining = draining
 		c := newConn(serverConn, tracker)
-		c.nextRequestStarted = true
+		c.scanner.scan([]byte("G"))
 		c.busy = true
 		tracker.conns[c] = c
 		tracker.ConnState(c, http.StateIdle)
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -48,7 +48,7 @@
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
 		return NoData
-	case errors.Is(err, syscall.EINTR):
+	case isTransient(err):
 		return Unknown
 	case err != nil || count == 0:
 		return Closed
@@ -56,3 +56,8 @@
 		return Readable
 	}
 }
+
+// isTransient reports whether an error of recv(2) tells nothing about the connection.
+func isTransient(err error) bool {
+	return errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
