frontend: a request's head has at most 100 fields

Cause: net/http limits the bytes of a head only, and its map of fields takes up to thirty times as much; 500 unfinished heads of 15,500 bytes took 113.8 MB (fields of one name) and 59.0 MB (different names) where 32 MB are allowed. Class of bug: a limit on input that does not limit what is made of it. Change: the scanner of requests counts the fields; beyond 100 none is passed to net/http, the rest of the head is read and thrown away, so that the response (400) is not lost to a reset, and the connection ends.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -64,6 +64,9 @@
 	// While a request is in flight, net/http reads one byte to detect that the client
 	// disconnects. Once it has got a byte it stops, and the read-ahead takes over.
 	isDisconnectCheck := len(b) == 1
+	if !isDisconnectCheck && c.headTooLarge() {
+		return 0, c.skipHead(b)
+	}
 	count, arrivedAt, err := c.read(b)
 	for isDisconnectCheck && errors.Is(err, os.ErrDeadlineExceeded) && c.resumeReading() {
 		count, arrivedAt, err = c.read(b)
@@ -74,7 +77,11 @@
 	if isDisconnectCheck {
 		return c.recordNextRequest(b[:count], err)
 	}
-	return c.recordRead(b[:count], arrivedAt, err)
+	accepted, err := c.recordRead(b[:count], arrivedAt, err)
+	if accepted == 0 && err == nil {
+		return 0, c.skipHead(b)
+	}
+	return accepted, err
 }
 
 // recordRead records data that was read for net/http and returns how many bytes may be passed
@@ -88,8 +95,7 @@
 	c.idle = false
 	c.requestStarted = true
 	c.arrivedAt = arrivedAt
-	c.scanner.scan(data)
-	return len(data), err
+	return c.scanner.scan(data), err
 }
 
 // recordNextRequest records the byte that net/http has got in its check for a disconnect, and
@@ -119,6 +125,37 @@
 	return count, time.Now(), err
 }
 
+// headTooLarge reports whether the request that is being received has too many header fields.
+func (c *Conn) headTooLarge() bool {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	return c.scanner.tooLarge
+}
+
+// skipHead reads the rest of a head with too many fields into buffer, without passing it on. So
+// net/http's error response is not lost to the reset that closing a connection over unread data
+// causes. It returns errTooManyFields at the end of the head, or the error of a read.
+func (c *Conn) skipHead(buffer []byte) error {
+	for skipped := 0; skipped < maxHeaderBytes && c.inHead(); {
+		count, arrivedAt, err := c.read(buffer)
+		if count == 0 {
+			return err
+		}
+		skipped += count
+		if _, err := c.recordRead(buffer[:count], arrivedAt, err); err != nil {
+			return err
+		}
+	}
+	return errTooManyFields
+}
+
+// inHead reports whether the data passed on so far ends within a request's head.
+func (c *Conn) inHead() bool {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	return c.scanner.started && !c.scanner.inBody
+}
+
 // SetReadDeadline implements [net.Conn]; net/http calls it. It replaces a deadline of the
 // tracker, except for that of an eviction, which stays in force beside it.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
--- a/internal/frontend/errors.go
+++ b/internal/frontend/errors.go
@@ -14,6 +14,10 @@
 	ErrBodyTooLong        = errors.New("body too long")
 )
 
+// errTooManyFields is returned to net/http for a head with more than maxHeaderFields fields. Its
+// response then has status 400.
+var errTooManyFields = errors.New("too many header fields")
+
 // HeaderError reports that a header is missing, repeated or malformed.
 type HeaderError struct {
 	Header  string // the header's name
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// maxHeaderFields limits the fields of a request's head. net/http limits only the bytes, and
+	// the parsed form of many short fields takes some thirty times as much memory.
+	maxHeaderFields = 100
 	// maxScannedLineBytes is how much of a line of a head is kept to recognize its field.
 	maxScannedLineBytes = 48
 )
@@ -20,17 +23,20 @@
 type requestScanner struct {
 	completed int  // requests that were passed on completely
 	started   bool // part of a further request was passed on
+	tooLarge  bool // the head of that request has too many fields
 
 	inBody   bool
 	bodyLeft int64 // bytes of the body that are still to come
 
+	lines      int // complete lines of the head
 	line       [maxScannedLineBytes]byte
 	lineLength int   // bytes of the current line, without the line end
 	bodyLength int64 // as given in the head
 }
 
-// scan scans the next bytes.
-func (s *requestScanner) scan(chunk []byte) {
+// scan scans the next bytes and returns how many of them may be passed on: all, unless the head
+// of a request has too many fields. The others are scanned as well.
+func (s *requestScanner) scan(chunk []byte) (accepted int) {
 	rest := chunk
 	for len(rest) > 0 {
 		if s.inBody {
@@ -38,7 +44,11 @@
 		} else {
 			rest = rest[s.scanLine(rest):]
 		}
+		if !s.tooLarge {
+			accepted = len(chunk) - len(rest)
+		}
 	}
+	return accepted
 }
 
 // scanBody scans bytes of a body and returns how many belong to it.
@@ -78,6 +88,8 @@
 		s.endHead()
 		return
 	}
+	s.lines++
+	s.tooLarge = s.tooLarge || s.lines > maxHeaderFields+1 // the first line is no field
 	name, value, _ := strings.Cut(line, ":")
 	if len(name) == len(contentLengthField) && strings.EqualFold(name, contentLengthField) {
 		length, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
@@ -89,6 +101,7 @@
 
 // endHead handles the empty line at the end of a head.
 func (s *requestScanner) endHead() {
+	s.lines = 0
 	s.bodyLeft = s.bodyLength
 	s.bodyLength = 0
 	s.inBody = s.bodyLeft > 0
--- a/internal/frontend/requestscanner_test.go
+++ b/internal/frontend/requestscanner_test.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -31,7 +33,9 @@
 			var scanner requestScanner
 			for rest := test.text; rest != ""; {
 				chunk := rest[:min(chunkSize, len(rest))]
-				scanner.scan([]byte(chunk))
+				if accepted := scanner.scan([]byte(chunk)); accepted != len(chunk) {
+					t.Errorf("%s, in chunks of %d: %d of %d bytes accepted, want all", test.name, chunkSize, accepted, len(chunk))
+				}
 				rest = rest[len(chunk):]
 			}
 			if scanner.completed != test.completed || scanner.started != test.started {
@@ -41,3 +45,51 @@
 		}
 	}
 }
+
+// Guards the limit on the fields of a head: no line beyond it is passed on, and the end of the head
+// is still found. Lines of a body do not count.
+func TestRequestScannerLimitsHeaderFields(t *testing.T) {
+	const start = "POST /a HTTP/1.1\r\nContent-Length: 400\r\n"
+	allowed := start + strings.Repeat("a:\r\n", maxHeaderFields-1)
+	for _, chunkSize := range []int{1, 7, 4096} {
+		var scanner requestScanner
+		text := allowed + "\r\n" + strings.Repeat("\n", 400) + allowed + strings.Repeat("a:\r\n", 50) + "\r\n"
+		accepted := 0
+		for rest := text; rest != ""; {
+			chunk := rest[:min(chunkSize, len(rest))]
+			accepted += scanner.scan([]byte(chunk))
+			rest = rest[len(chunk):]
+		}
+		if want := 2*len(allowed) + len("\r\n") + 400; accepted < want || accepted > want+len("a:\r") || !scanner.tooLarge {
+			t.Errorf("chunks of %d: %d bytes accepted, too large: %v; want %d, true", chunkSize, accepted, scanner.tooLarge, want)
+		}
+		if scanner.completed != 1 || !scanner.inBody {
+			t.Errorf("chunks of %d: %d requests completed, in a body: %v; want 1, true", chunkSize, scanner.completed, scanner.inBody)
+		}
+	}
+}
+
+// Guards the answers to heads with too many fields: a complete one gets status 400 and the end of
+// the connection, also behind a request that is served; an incomplete one gets no answer yet.
+func TestHeadWithTooManyFieldsIsRefused(t *testing.T) {
+	const request = "GET /lookup HTTP/1.1\r\nHost: x\r\n"
+	large := request + strings.Repeat("abc:\r\n", 2500) + "\r\n"
+	addr := startServer(t, NewTracker(4, NewMemoryBudget(testMemory)))
+	for name, before := range map[string]int{"alone": 0, "behind another request": 1} {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, addr)
+			io.WriteString(c, strings.Repeat(request+"\r\n", before)+large)
+			for range before {
+				if status := c.readStatus(); status != http.StatusOK {
+					t.Errorf("the request before has status %d, want %d", status, http.StatusOK)
+				}
+			}
+			if status := c.readStatus(); status != http.StatusBadRequest {
+				t.Errorf("status %d, want %d", status, http.StatusBadRequest)
+			}
+			if rest, err := io.ReadAll(c.reader); err != nil || len(rest) > 0 {
+				t.Errorf("after the response: %q, error %v; want the end of the connection", rest, err)
+			}
+		})
+	}
+}
