frontend: the shared rate limits how fast requests of fast connections are read

Cause: with one processor the Go scheduler finds other connections' data only every 10 ms or so while goroutines are always runnable, and each request needs several such steps. Class of bug: no fairness between clients. Change: beyond 20 at once and 100 a second on a connection, requests take slots of a rate of 4,000 a second and core that all connections share; a connection pauses 2 ms or more before it reads its next request, so the processor also falls idle. No answer is delayed. The time that a request waited in the kernel for the end of a pause counts as its client's.

--- a/cmd/edgenode/main.go
+++ b/cmd/edgenode/main.go
@@ -85,6 +85,7 @@
 		Seed:             file.Seed,
 		MaxDescriptors:   file.ProcessLimits.Sockets,
 		MemoryBytes:      file.ProcessLimits.MemoryBytes(),
+		Cores:            file.ProcessLimits.Cores,
 		CachedList:       cachedList,
 		Settings:         file.Settings,
 	}, file.ProcessLimits, nil
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -25,6 +25,7 @@
 	Seed             uint64         // seeds the random numbers of this process
 	MaxDescriptors   int            // file descriptors that the process may have open; 0: not configured
 	MemoryBytes      int64          // memory that the process may use; 0: not configured
+	Cores            float64        // processor cores that the process may use; 0: not configured
 	CachedList       discovery.List // endpoint list that the last run received; used until discovery sends a newer one
 	Settings         *config.Settings
 }
@@ -90,6 +91,9 @@
 		requests:     map[string]*request{},
 		pool:         upstream.NewPool(cfg.Settings, maxUpstreamConns(cfg.MaxDescriptors)),
 	}
+	if cfg.Cores > 0 {
+		n.clientConns.SetCores(cfg.Cores)
+	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.discovery = n.newDiscoveryClient(cfg.DiscoveryAddress)
 	if cfg.CounterAddress != "" {
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -33,8 +33,10 @@
 	idle           bool      // the last request is answered, and no byte of the next one was read
 	requestStarted bool      // part of a request was read that is not accepted yet
 	scanner        requestScanner
-	answered       int           // requests whose responses were written
-	arrivedAt      time.Time     // arrival of the last data passed to net/http, or a time before it
+	answered       int       // requests whose responses were written
+	arrivedAt      time.Time // arrival of the last data passed to net/http, or a time before it
+	allowance      requestAllowance
+	pausedAt       time.Time     // when reading paused last, if data has waited in the kernel since; else zero
 	hasSentRequest bool          // the client has sent at least one complete request
 	busy           bool          // a complete request is in flight
 	closedLocally  bool          // the node closed the connection between requests
@@ -122,7 +124,35 @@
 		return ahead.Read(b)
 	}
 	count, err = c.Conn.Read(b)
-	return count, time.Now(), err
+	return count, c.arrivalAfterPause(time.Now()), err
+}
+
+// pause waits before the connection's next request is read.
+func (c *Conn) pause(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	startedAt := time.Now()
+	time.Sleep(d)
+	if socket.Peek(c.Conn) != socket.Readable {
+		return
+	}
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.pausedAt = startedAt
+}
+
+// arrivalAfterPause returns when data that was read now arrived, or a time before it if the data
+// may have waited for the end of a pause.
+func (c *Conn) arrivalAfterPause(now time.Time) time.Time {
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	if c.pausedAt.IsZero() {
+		return now
+	}
+	arrivedAt := c.pausedAt
+	c.pausedAt = time.Time{}
+	return arrivedAt
 }
 
 // headTooLarge reports whether the request that is being received has too many header fields.
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -31,6 +31,7 @@
 type Tracker struct {
 	maxConns int
 	memory   *MemoryBudget // for the read-ahead buffers
+	pacer    *requestPacer // has a lock of its own
 
 	mu        sync.Mutex
 	conns     map[net.Conn]*Conn // the open connections
@@ -42,9 +43,13 @@
 // NewTracker returns a tracker that allows maxConns open connections. Data that clients send
 // before they have received a response is charged to the memory budget.
 func NewTracker(maxConns int, memory *MemoryBudget) *Tracker {
-	return &Tracker{maxConns: maxConns, memory: memory, conns: map[net.Conn]*Conn{}}
+	return &Tracker{maxConns: maxConns, memory: memory, pacer: newRequestPacer(1), conns: map[net.Conn]*Conn{}}
 }
 
+// SetCores sets the number of processor cores that the process may use, which is 1 before. It
+// must be called before the first connection is accepted.
+func (t *Tracker) SetCores(cores float64) { t.pacer = newRequestPacer(cores) }
+
 // Stats is a snapshot of the counts of a tracker's connections.
 type Stats struct {
 	MaxConns       int // limit on open connections
@@ -187,20 +192,27 @@
 // ConnState updates the record of a connection whose state has changed. It is the ConnState
 // hook of an [http.Server].
 func (t *Tracker) ConnState(conn net.Conn, state http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		if c := t.conns[conn]; c != nil {
-			t.requestAnswered(c)
+		if t.requestAnswered(conn) {
+			conn.(*Conn).pause(t.pacer.delay(time.Now()))
 		}
 	case http.StateClosed, http.StateHijacked:
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		t.remove(conn)
 	}
 }
 
-// requestAnswered records that a connection's request was answered. The lock is held.
-func (t *Tracker) requestAnswered(c *Conn) {
+// requestAnswered records that a connection's request was answered. It reports whether the
+// connection has sent so many requests that the next one needs a slot of the pacer.
+func (t *Tracker) requestAnswered(conn net.Conn) (paced bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.conns[conn]
+	if c == nil {
+		return false
+	}
 	c.answered++
 	c.requestStarted = c.scanner.started || c.scanner.completed > c.answered
 	c.idle = !c.requestStarted
@@ -214,6 +226,7 @@
 		c.closeLocally()
 		t.remove(c)
 	}
+	return !c.closedLocally && !c.allowance.withdraw(c.idleSince)
 }
 
 // remove deletes the record of a closed connection. The lock is held.
