--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -64,8 +64,10 @@
 	}
 }
 
-// receive adds a request to the open ones and passes it to the policy. It reports false and
-// does nothing if a request with the same ID is open.
+// receive adds a request to the open ones and passes it to the policy. A request that no attempt
+// may serve is rejected at once: no time is left for one, the process is about to be killed, or it
+// is not known whether the client is still connected. It reports false and does nothing if a
+// request with the same ID is open.
 func (n *Node) receive(r *request, event policy.RequestReceived) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -73,7 +75,7 @@
 		return false
 	}
 	r.answer = make(chan answer, 1)
-	if n.rejecting || r.clientPresence() == frontend.Unverified {
+	if n.rejecting || event.Timeout <= attemptDeadlineMargin || r.clientPresence() == frontend.Unverified {
 		r.answered = true
 		r.answer <- answer{status: statusRejected}
 		return true
--- a/internal/edge/request_test.go
+++ b/internal/edge/request_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"swiftpitch/internal/policy"
 	"swiftpitch/internal/testsupport"
 )
 
@@ -181,3 +182,40 @@
 		t.Errorf("%d requests are open, want none", len(h.node.requests))
 	}
 }
+
+// eventRecorder records the IDs of the requests that the policy receives.
+type eventRecorder struct {
+	policyGateway
+	received *[]string
+}
+
+// Step implements policyGateway.
+func (r eventRecorder) Step(now policy.Time, event policy.Event, out []policy.Action) []policy.Action {
+	if event, ok := event.(policy.RequestReceived); ok {
+		*r.received = append(*r.received, event.RequestID)
+	}
+	return r.policyGateway.Step(now, event, out)
+}
+
+// Guards against state that grows with requests that nobody could serve in time: they are rejected
+// without the policy, which keeps state for each tenant.
+func TestRequestWithoutTimeLeavesNoState(t *testing.T) {
+	h := startNode(t, testConfig(t), testsupport.StartFakeServer(t, testsupport.RespondOK).Addr)
+	var received []string
+	h.node.mu.Lock()
+	h.node.gateway = eventRecorder{policyGateway: h.node.gateway, received: &received}
+	h.node.mu.Unlock()
+	c := h.dial()
+	for _, milliseconds := range []string{"1", "15", "16"} {
+		id := numberedID(len(milliseconds)*10 + len(received))
+		resp, _ := c.roundTrip(clientRequest("lookup", id, "X-Expires-In-Ms: 3000", "X-Expires-In-Ms: "+milliseconds))
+		if milliseconds != "16" && resp.StatusCode != statusRejected {
+			t.Errorf("%s ms left: status %d, want %d", milliseconds, resp.StatusCode, statusRejected)
+		}
+	}
+	h.node.mu.Lock()
+	defer h.node.mu.Unlock()
+	if len(received) > 1 {
+		t.Errorf("the policy received %q, want only the request with 16 ms left", received)
+	}
+}
