edge: an unsafe request does not run again when its ID comes again

Cause: an ID was refused only while a request of this ID was open, and the request of a client that leaves ends at once when its attempt is canceled, which does not stop the endpoint. Class of bug: what may have run was forgotten. IDs of idempotent requests and of those that certainly did not run stay free. Related path: the same held after an answer.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -18,7 +18,8 @@
 	maxUnreservedBodyBytes = 4 << 10
 )
 
-// errDuplicateID is returned for a request with the ID of another one that is still open.
+// errDuplicateID is returned for a request with the ID of another one that is still open, or that
+// may have run and must not run again.
 var errDuplicateID = errors.New("a request of this id is open")
 
 // ServeHTTP implements [http.Handler]: it answers a client's request or a readiness check. The
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -53,6 +53,7 @@
 	actions     []policy.Action     // returned for the current event; reused
 	dispatching bool                // dispatch is running
 	requests    map[string]*request // the open ones by ID
+	ranRequests ranRequests         // of closed ones
 	pool        *upstream.Pool
 	discovery   *discovery.Client
 	counter     *counterclient.Client // nil: not configured
@@ -91,6 +92,7 @@
 		fatalError:   make(chan error, 1),
 		gateway:      gateway,
 		requests:     map[string]*request{},
+		ranRequests:  newRanRequests(),
 		pool:         upstream.NewPool(cfg.Settings, maxUpstreamConns(cfg.MaxDescriptors)),
 	}
 	if cfg.Cores > 0 {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -34,6 +34,7 @@
 	conn             *frontend.Conn // nil: the request did not come through a listener
 	receivedAt       time.Time      // when its last byte was read
 	deadline         time.Time
+	idempotent       bool          // may run any number of times
 	dedupWindow      time.Duration // for which endpoints drop duplicates; 0: the class has no idempotency key
 	deadlineGuard    *time.Timer   // fails the request shortly before its deadline
 	attempts         []*attempt
@@ -54,6 +55,7 @@
 // come through a [frontend.Listener].
 func newRequest(parsed *frontend.Request, conn *frontend.Conn) *request {
 	return &request{
+		idempotent:  parsed.Idempotent,
 		id:          parsed.Event.RequestID,
 		forwardHead: parsed.ForwardHead,
 		body:        parsed.Body,
@@ -67,11 +69,11 @@
 // receive adds a request to the open ones and passes it to the policy. A request that no attempt
 // may serve is rejected at once: no time is left for one, the process is about to be killed, or it
 // is not known whether the client is still connected. It reports false and does nothing if a
-// request with the same ID is open.
+// request with the same ID is open, or may have run and must not run again.
 func (n *Node) receive(r *request, event policy.RequestReceived) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.requests[r.id] != nil {
+	if n.requests[r.id] != nil || n.ranRequests.contains(r.id) {
 		return false
 	}
 	r.answer = make(chan answer, 1)
@@ -161,5 +163,6 @@
 func (n *Node) removeIfDone(r *request) {
 	if r.answered && r.attemptsInFlight == 0 && n.requests[r.id] == r {
 		delete(n.requests, r.id)
+		n.rememberIfRan(r)
 	}
 }
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -45,6 +45,7 @@
 	Body        []byte
 	ReceivedAt  time.Time // when the last byte was read; the client's timeout counts from then on
 	Deadline    time.Time // when the client stops waiting
+	Idempotent  bool      // its class may run any number of times
 	// DedupWindow is how long endpoints discard duplicates of the request; 0: its class has
 	// no idempotency key.
 	DedupWindow time.Duration
@@ -99,6 +100,7 @@
 		Body:        body,
 		ReceivedAt:  receivedAt,
 		Deadline:    receivedAt.Add(event.Timeout),
+		Idempotent:  policy.Idempotency(class.Idempotency) == policy.Idempotent,
 	}
 	if key != "" {
 		request.DedupWindow = class.DedupWindow
