upstream: a connection is used only for the process that it was dialed to

Cause: a dial that was under way, or a connection that carried a request, when discovery reported a new start, another address or another endpoint at the same address, was afterwards used and kept for the endpoint by its id and address alone. Class of bug: a check before a wait that is not repeated after it. Change: a connection carries the process (address and start) that was reported when its dial began; before the first byte is written and before it goes back to the pool it must lead to the endpoint's present process, and no other endpoint may own the address. Such an attempt ends as not connected, so it may be retried. Related path: health checks. Not covered: a new process that discovery has not reported yet.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -17,13 +17,13 @@
 
 // attempt is one attempt of a request at one endpoint. Node.mu guards it; the attempt's
 // goroutine reads without the lock only the fields that are set before it starts: request,
-// number, endpoint and addr.
+// number, endpoint and process.
 type attempt struct {
 	request     *request
 	number      int // index into request.attempts
 	endpointID  string
 	endpoint    *upstream.Endpoint // nil: discovery does not list it
-	addr        string             // address of endpoint when the attempt started
+	process     upstream.Process   // of endpoint when the attempt started
 	startedAt   time.Time
 	timer       *time.Timer        // ends the attempt at its timeout; nil: it ended at once
 	conn        *upstream.Conn     // nil: the attempt owns none
@@ -76,7 +76,7 @@
 		n.endAttempt(a, policy.ConnectFailed)
 		return
 	}
-	a.addr = a.endpoint.Addr()
+	a.process = a.endpoint.Process()
 	a.conn = conn
 	a.timer = n.afterFunc(timeout, func() { n.endAttempt(a, policy.TimedOut) })
 	ctx := n.ctx
@@ -153,10 +153,10 @@
 // reserved. It returns nil and the attempt's outcome if the dial fails, the node has closed or
 // the attempt may no longer be written.
 func (n *Node) dialForAttempt(ctx context.Context, a *attempt) (*upstream.Conn, policy.Outcome) {
-	netConn, err := n.dial(ctx, "tcp", a.addr)
+	netConn, err := n.dial(ctx, "tcp", a.process.Addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	conn := n.completeDial(netConn, err, a.endpoint, a.addr)
+	conn := n.completeDial(netConn, err, a.endpoint, a.process)
 	if conn == nil {
 		return nil, policy.ConnectFailed
 	}
@@ -197,7 +197,7 @@
 	if !n.confirmClient(a.request, now) || a.ended {
 		return policy.NotSent, false // the endpoint is not at fault
 	}
-	if !n.pool.AcceptsAttempts(a.endpoint, now) || !a.withinDedupWindow(now) {
+	if !n.pool.AcceptsAttempts(a.endpoint, now) || !n.pool.LeadsTo(conn, a.endpoint) || !a.withinDedupWindow(now) {
 		return policy.ConnectFailed, false
 	}
 	a.conn = conn
--- a/internal/edge/healthcheck.go
+++ b/internal/edge/healthcheck.go
@@ -19,7 +19,7 @@
 type healthCheck struct {
 	endpointID string
 	endpoint   *upstream.Endpoint
-	addr       string // address of endpoint when the check started
+	process    upstream.Process // of endpoint when the check started
 	startedAt  time.Time
 }
 
@@ -38,7 +38,7 @@
 		n.endHealthCheck(check, upstream.Response{Outcome: policy.ConnectFailed})
 		return
 	}
-	check.addr = check.endpoint.Addr()
+	check.process = check.endpoint.Process()
 	n.workers.Go(func() { n.runHealthCheck(check, conn) })
 }
 
@@ -53,7 +53,7 @@
 	}
 	response := upstream.Response{Outcome: policy.ConnectFailed}
 	if conn != nil {
-		response = exchangeHealthCheck(ctx, conn, check.addr)
+		response = exchangeHealthCheck(ctx, conn, check.process.Addr)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -68,17 +68,17 @@
 }
 
 // dialForHealthCheck dials a connection for a health check, for which a slot of the pool is
-// reserved. It returns nil if the dial fails, the node has closed or the endpoint's drain grace
-// is over.
+// reserved. It returns nil if the dial fails, the node has closed, the endpoint's drain grace is
+// over or another process has replaced it.
 func (n *Node) dialForHealthCheck(ctx context.Context, check *healthCheck) *upstream.Conn {
-	netConn, err := n.dial(ctx, "tcp", check.addr)
+	netConn, err := n.dial(ctx, "tcp", check.process.Addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	conn := n.completeDial(netConn, err, check.endpoint, check.addr)
+	conn := n.completeDial(netConn, err, check.endpoint, check.process)
 	if conn == nil {
 		return nil
 	}
-	if !n.pool.AcceptsAttempts(check.endpoint, time.Now()) {
+	if !n.pool.AcceptsAttempts(check.endpoint, time.Now()) || !n.pool.LeadsTo(conn, check.endpoint) {
 		n.pool.Release(conn)
 		return nil
 	}
--- a/internal/edge/upstreamconn.go
+++ b/internal/edge/upstreamconn.go
@@ -22,12 +22,12 @@
 
 // completeDial wraps a dialed connection, for which a slot of the pool is reserved. It returns
 // nil and frees the slot if the dial failed or the node has closed. The caller holds n.mu.
-func (n *Node) completeDial(netConn net.Conn, err error, endpoint *upstream.Endpoint, addr string) *upstream.Conn {
+func (n *Node) completeDial(netConn net.Conn, err error, endpoint *upstream.Endpoint, process upstream.Process) *upstream.Conn {
 	if err != nil {
 		n.pool.CancelReservation()
 		return nil
 	}
-	conn := upstream.NewConn(netConn, endpoint, addr)
+	conn := upstream.NewConn(netConn, endpoint, process)
 	if n.closed {
 		n.pool.Evict(conn)
 		return nil
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,16 +18,16 @@
 type Conn struct {
 	net.Conn
 	endpoint  *Endpoint
-	addr      string           // address that was dialed; the endpoint's may have changed since
+	process   Process          // process to which it leads; the endpoint's may have changed since
 	limit     io.LimitedReader // limits the size of a response
 	reader    *bufio.Reader
 	idleSince time.Time // zero: never idle so far
 }
 
-// NewConn wraps a connection that was dialed to an endpoint at addr, after the caller had
-// reserved a slot with [Pool.Reserve].
-func NewConn(netConn net.Conn, endpoint *Endpoint, addr string) *Conn {
-	c := &Conn{Conn: netConn, endpoint: endpoint, addr: addr}
+// NewConn wraps a connection that was dialed to an endpoint, after the caller had reserved a
+// slot with [Pool.Reserve]. process is the endpoint's when the dial began.
+func NewConn(netConn net.Conn, endpoint *Endpoint, process Process) *Conn {
+	c := &Conn{Conn: netConn, endpoint: endpoint, process: process}
 	c.limit.R = netConn
 	c.reader = bufio.NewReaderSize(&c.limit, readBufferSize)
 	return c
--- a/internal/upstream/endpoint.go
+++ b/internal/upstream/endpoint.go
@@ -12,14 +12,23 @@
 // that guards its [Pool] guards it as well.
 type Endpoint struct {
 	id            string
-	addr          string
+	process       Process
 	idle          []*Conn   // most recently used last
-	startedAtMS   int64     // Unix time in ms of its process's last start, as discovery reports it
 	drainingSince time.Time // when discovery first reported it draining or removed; zero: serving
 }
 
+// Process identifies the process that runs an endpoint, as discovery reports it. A connection
+// leads to the process that was reported when its dial began.
+type Process struct {
+	Addr        string // host and port
+	StartedAtMS int64  // Unix time in ms of its start; 0: not reported
+}
+
+// Process returns the process that runs the endpoint.
+func (e *Endpoint) Process() Process { return e.process }
+
 // Addr returns the host and port at which discovery lists the endpoint.
-func (e *Endpoint) Addr() string { return e.addr }
+func (e *Endpoint) Addr() string { return e.process.Addr }
 
 // IsServing reports whether the endpoint takes new requests according to discovery's
 // latest report.
@@ -67,10 +76,9 @@
 		p.endpoints[update.ID] = endpoint
 		p.serving++
 	}
-	if endpoint.addr != update.Addr || endpoint.startedAtMS != update.StartedAtMS {
-		p.evictIdle(endpoint) // they lead to a process that no longer exists
-		endpoint.addr = update.Addr
-		endpoint.startedAtMS = update.StartedAtMS
+	p.setProcess(endpoint, Process{Addr: update.Addr, StartedAtMS: update.StartedAtMS})
+	if update.State == policy.Serving || p.byAddr[update.Addr] == nil {
+		p.byAddr[update.Addr] = endpoint
 	}
 	if update.State == policy.Serving {
 		p.resume(endpoint)
@@ -80,6 +88,34 @@
 	p.evictIdle(endpoint)
 }
 
+// setProcess records which process runs an endpoint.
+func (p *Pool) setProcess(endpoint *Endpoint, process Process) {
+	if endpoint.process == process {
+		return
+	}
+	p.evictIdle(endpoint) // they lead to a process that no longer exists
+	p.releaseAddr(endpoint)
+	endpoint.process = process
+}
+
+// releaseAddr records that no process of an endpoint listens at its address any more.
+func (p *Pool) releaseAddr(endpoint *Endpoint) {
+	if p.byAddr[endpoint.Addr()] == endpoint {
+		delete(p.byAddr, endpoint.Addr())
+	}
+}
+
+// LeadsTo reports whether a connection leads to the process that runs an endpoint, as far as
+// discovery has reported it: the process has not been replaced since the dial began, neither by
+// another one of the endpoint nor by another endpoint at the same address.
+func (p *Pool) LeadsTo(conn *Conn, endpoint *Endpoint) bool {
+	if conn.process != endpoint.process {
+		return false
+	}
+	owner := p.byAddr[endpoint.Addr()]
+	return owner == nil || owner == endpoint
+}
+
 // RemoveEndpoint removes an endpoint and closes its idle connections. Callers that still
 // hold the endpoint see it as draining, from now or from the earlier start of its drain.
 func (p *Pool) RemoveEndpoint(id string, now time.Time) {
@@ -89,6 +125,7 @@
 	}
 	p.drain(endpoint, now)
 	p.evictIdle(endpoint)
+	p.releaseAddr(endpoint)
 	delete(p.endpoints, id)
 }
 
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -27,7 +27,7 @@
 		io.WriteString(conn, test.response)
 		return false
 	}).Addr
-	response := NewConn(testsupport.Dial(t, addr), nil, addr).Exchange(getRequest("/"))
+	response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(getRequest("/"))
 	if response.Outcome != test.outcome || response.Reusable != test.reusable {
 		t.Errorf("outcome %d, reusable %v; want %d, %v", response.Outcome, response.Reusable, test.outcome, test.reusable)
 	}
@@ -95,7 +95,7 @@
 			conn.(*net.TCPConn).SetLinger(0) // the close resets the connection
 			return false
 		}).Addr
-		response := NewConn(testsupport.Dial(t, addr), nil, addr).Exchange(getRequest("/"))
+		response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(getRequest("/"))
 		if response.Outcome != policy.ConnectionLost || response.Reusable {
 			t.Errorf("%q and a reset: outcome %d, reusable %v; want %d, false", text, response.Outcome, response.Reusable, policy.ConnectionLost)
 		}
@@ -116,7 +116,7 @@
 	}()
 	addr := listener.Addr().String()
 	text := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000000\r\n\r\n" + strings.Repeat("x", 100000000)
-	response := NewConn(testsupport.Dial(t, addr), nil, addr).Exchange(net.Buffers{[]byte(text)})
+	response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(net.Buffers{[]byte(text)})
 	if response.Outcome != policy.ConnectFailed || response.Reusable {
 		t.Errorf("outcome %d, reusable %v; want %d, false", response.Outcome, response.Reusable, policy.ConnectFailed)
 	}
@@ -134,7 +134,7 @@
 		return testsupport.RespondOK(conn, req, body)
 	}).Addr
 	pool, endpoint := newTestPool(addr)
-	conn := NewConn(testsupport.Dial(t, addr), endpoint, addr)
+	conn := NewConn(testsupport.Dial(t, addr), endpoint, endpoint.Process())
 	if body := string(conn.Exchange(getRequest("/first")).Body); body != "hello" {
 		t.Fatalf("first response: body %q, want %q", body, "hello")
 	}
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -31,5 +31,5 @@
 	if !pool.Reserve() {
 		t.Fatal("the pool has no free slot for an idle connection")
 	}
-	pool.Release(NewConn(testsupport.Dial(t, endpoint.Addr()), endpoint, endpoint.Addr()))
+	pool.Release(NewConn(testsupport.Dial(t, endpoint.Addr()), endpoint, endpoint.Process()))
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,6 +35,7 @@
 // lock guards it and is held in every method.
 type Pool struct {
 	endpoints   map[string]*Endpoint // by id
+	byAddr      map[string]*Endpoint // the endpoint to which an address belongs; a serving one if there is one
 	serving     int                  // endpoints that take new requests
 	open        int                  // open connections, including those being dialed
 	maxConns    int
@@ -49,6 +50,7 @@
 func NewPool(settings *config.Settings, maxConns int) *Pool {
 	p := &Pool{
 		endpoints:   map[string]*Endpoint{},
+		byAddr:      map[string]*Endpoint{},
 		maxConns:    maxConns,
 		dialTimeout: settings.Limits.DialTimeout,
 		idleTimeout: settings.Limits.EndpointIdleTimeout / idleTimeoutDivisor,
@@ -131,11 +133,11 @@
 }
 
 // Release returns a connection without a request in flight to the pool. The connection is
-// closed instead if its endpoint is draining, was removed or has a new address.
+// closed instead if its endpoint is draining, was removed or is run by another process.
 func (p *Pool) Release(conn *Conn) {
 	endpoint := conn.endpoint
 	listed := p.endpoints[endpoint.id] == endpoint
-	if !listed || endpoint.addr != conn.addr || !endpoint.IsServing() {
+	if !listed || !p.LeadsTo(conn, endpoint) || !endpoint.IsServing() {
 		p.Evict(conn)
 		return
 	}
