edge: dials that fail on this machine are repeated and not blamed on the endpoint

Change: such a dial is repeated after 2, 4, 8 ms ... until the dial's timeout; if it still fails, the attempt ends as not sent, which says nothing about the endpoint. TestLocalDialErrorsAreNotBlamedOnEndpoints failed in five of seven rows before.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -153,10 +153,13 @@
 // reserved. It returns nil and the attempt's outcome if the dial fails, the node has closed or
 // the attempt may no longer be written.
 func (n *Node) dialForAttempt(ctx context.Context, a *attempt) (*upstream.Conn, policy.Outcome) {
-	netConn, err := n.dial(ctx, "tcp", a.process.Addr)
+	netConn, err := n.dialEndpoint(ctx, a.process.Addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	conn := n.completeDial(netConn, err, a.endpoint, a.process)
+	if conn == nil && isLocalDialError(err) {
+		return nil, policy.NotSent // the endpoint is not at fault
+	}
 	if conn == nil {
 		return nil, policy.ConnectFailed
 	}
--- a/internal/edge/healthcheck.go
+++ b/internal/edge/healthcheck.go
@@ -71,7 +71,7 @@
 // reserved. It returns nil if the dial fails, the node has closed, the endpoint's drain grace is
 // over or another process has replaced it.
 func (n *Node) dialForHealthCheck(ctx context.Context, check *healthCheck) *upstream.Conn {
-	netConn, err := n.dial(ctx, "tcp", check.process.Addr)
+	netConn, err := n.dialEndpoint(ctx, check.process.Addr)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	conn := n.completeDial(netConn, err, check.endpoint, check.process)
