--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -17,7 +17,7 @@
 
 // attempt is one attempt of a request at one endpoint. Node.mu guards it; the attempt's
 // goroutine reads without the lock only the fields that are set before it starts: request,
-// number, endpoint and process.
+// number, endpoint, process and endsAt.
 type attempt struct {
 	request     *request
 	number      int // index into request.attempts
@@ -25,6 +25,7 @@
 	endpoint    *upstream.Endpoint // nil: discovery does not list it
 	process     upstream.Process   // of endpoint when the attempt started
 	startedAt   time.Time
+	endsAt      time.Time          // when it times out
 	timer       *time.Timer        // ends the attempt at its timeout; nil: it ended at once
 	conn        *upstream.Conn     // nil: the attempt owns none
 	cancelDial  context.CancelFunc // nil: no connection is dialed
@@ -78,13 +79,13 @@
 	}
 	a.process = a.endpoint.Process()
 	a.conn = conn
+	a.endsAt = now.Add(timeout)
 	a.timer = n.afterFunc(timeout, func() { n.endAttempt(a, policy.TimedOut) })
 	ctx := n.ctx
 	if conn == nil {
 		ctx, a.cancelDial = context.WithTimeout(n.ctx, n.pool.DialTimeout())
 	}
-	text := r.encode(timeout)
-	n.workers.Go(func() { n.runAttempt(ctx, a, conn, text) })
+	n.workers.Go(func() { n.runAttempt(ctx, a, conn) })
 }
 
 // attemptTimeout returns the timeout of an attempt that starts now: the time until
@@ -98,14 +99,14 @@
 	return timeout
 }
 
-// encode returns the text of the request for an endpoint, with the attempt's timeout as the
-// remaining time. The attempts share the body, which is not copied.
-func (r *request) encode(timeout time.Duration) net.Buffers {
+// encode returns the text of the request for an endpoint, with the time that the attempt still
+// has. The attempts share the body, which is not copied.
+func (r *request) encode(remaining time.Duration) net.Buffers {
 	const lineEnds = "\r\n\r\n"
 	const maxTimeoutDigits = 12
 	head := make([]byte, 0, len(r.forwardHead)+maxTimeoutDigits+len(lineEnds))
 	head = append(head, r.forwardHead...)
-	head = strconv.AppendInt(head, max(timeout.Milliseconds(), 1), 10)
+	head = strconv.AppendInt(head, max(remaining.Milliseconds(), 1), 10)
 	head = append(head, lineEnds...)
 	text := net.Buffers{head}
 	if len(r.body) > 0 {
@@ -133,7 +134,7 @@
 
 // runAttempt executes an attempt on conn, or on a new connection if conn is nil. It runs in
 // the attempt's goroutine; the caller does not hold n.mu.
-func (n *Node) runAttempt(ctx context.Context, a *attempt, conn *upstream.Conn, text net.Buffers) {
+func (n *Node) runAttempt(ctx context.Context, a *attempt, conn *upstream.Conn) {
 	outcome := policy.NotSent
 	if conn == nil {
 		conn, outcome = n.dialForAttempt(ctx, a)
@@ -145,7 +146,7 @@
 		return
 	}
 	writtenAt := time.Now()
-	response := conn.Exchange(text)
+	response := conn.Exchange(a.request.encode(a.endsAt.Sub(writtenAt)))
 	n.handleResponse(a, conn, writtenAt, response)
 }
 
--- a/internal/edge/attempt_test.go
+++ b/internal/edge/attempt_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -189,3 +190,29 @@
 		}
 	}
 }
+
+// Guards the deadline that an endpoint gets on a connection that came up late: it is what the client
+// has left when the request is written, not when the dial began.
+func TestDeadlineIsCountedAfterDial(t *testing.T) {
+	deadlines := make(chan string, 2)
+	endpoint := testsupport.StartFakeServer(t, func(c net.Conn, req *http.Request, body []byte) bool {
+		deadlines <- req.Header.Get("X-Expires-In-Ms")
+		return testsupport.RespondOK(c, req, body)
+	})
+	h := startNode(t, testConfig(t), endpoint.Addr)
+	started, release := h.blockDials(func() bool { return true })
+	c := h.dial()
+	sentAt := time.Now()
+	io.WriteString(c, clientRequest("merge", "00000000000000aa"))
+	testsupport.Receive(t, "the dial", started)
+	dialedAt := time.Now()
+	const wait = 200 * time.Millisecond
+	testsupport.Eventually(t, "some of the request's time to pass", func() bool { return time.Since(dialedAt) >= wait })
+	close(release)
+	milliseconds, err := strconv.Atoi(testsupport.Receive(t, "the request", deadlines))
+	earliest, latest := 3*time.Second-time.Since(sentAt)-attemptDeadlineMargin, 3*time.Second-wait
+	if told := time.Duration(milliseconds) * time.Millisecond; err != nil || told > latest || told < earliest-time.Millisecond {
+		t.Errorf("the endpoint is told %v, error %v; want %v to %v", told, err, earliest, latest)
+	}
+	c.readResponse()
+}
