edge: slow start survives steps of the wall clock

The node's time is the wall clock of its start plus the monotonic clock, but a start that discovery reports is a reading of the other machines' wall clocks: after all clocks were stepped back by an hour a new server counted as warm at once and could be overloaded; after a step ahead it counted as cold for an hour.

--- a/internal/edge/attempt_test.go
+++ b/internal/edge/attempt_test.go
@@ -132,7 +132,7 @@
 	h.node.applyList(discovery.List{Instances: []discovery.Instance{{ID: "s-1", HostPort: b.Addr, Zone: "a", Lifecycle: "SERVING"}}},
 		policy.IncrementalUpdate)
 	h.node.mu.Lock()
-	h.node.epoch += policy.Time(time.Minute)
+	h.node.clock.epoch += policy.Time(time.Minute)
 	h.node.mu.Unlock()
 	var busy [16]*client
 	for i := range busy {
--- a/internal/edge/endpoints.go
+++ b/internal/edge/endpoints.go
@@ -41,9 +41,10 @@
 		if state == policy.Serving {
 			listed.servingAddresses[instance.HostPort] = true
 		}
-		endpoints = append(endpoints, n.policyEndpoint(instance, state))
+		endpoint := n.policyEndpoint(instance, state)
+		endpoints = append(endpoints, endpoint)
 		n.pool.UpdateEndpoint(upstream.EndpointUpdate{ID: instance.ID, Addr: instance.HostPort,
-			StartedAtMS: instance.StartedAtMS, State: state}, now)
+			StartedAtMS: instance.StartedAtMS, StartedAt: endpoint.StartedAt, State: state}, now)
 	}
 	endpoints = append(endpoints, n.removeUnlisted(listed, scope, now)...)
 	n.dispatch(policy.EndpointsUpdated{Scope: scope, Endpoints: endpoints})
@@ -56,11 +57,24 @@
 		Zone:      slices.Index(n.cfg.Settings.Zones, instance.Zone),
 		Cell:      instance.Cell,
 		Weight:    instance.Weight,
-		StartedAt: policy.Time(instance.StartedAtMS) * policy.Time(time.Millisecond),
+		StartedAt: n.startTime(instance),
 		State:     state,
 	}
 }
 
+// startTime returns when an instance's process started, in the policy's time. It stays the same as
+// long as discovery reports the same start, whatever the clocks do. The caller holds n.mu.
+func (n *Node) startTime(instance discovery.Instance) policy.Time {
+	known := n.pool.Endpoint(instance.ID)
+	if known != nil && known.Process().StartedAtMS == instance.StartedAtMS {
+		return known.StartedAt()
+	}
+	if step := n.clock.step(); step != 0 && instance.StartedAtMS > 0 {
+		n.log.Warn("an endpoint started after the wall clock was stepped", "id", instance.ID, "step", step)
+	}
+	return n.clock.startTime(instance.StartedAtMS)
+}
+
 // removeUnlisted removes from the pool the endpoints that do not occur in a list and, by that
 // list, no longer exist: all others if it is a full list, else those whose address now belongs
 // to a serving endpoint of the list. It returns the latter, because the policy can't infer
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -32,14 +32,13 @@
 
 // Node is an edge node. mu guards all fields below it; no code that holds mu blocks.
 type Node struct {
-	cfg       Config
-	log       *slog.Logger
-	startedAt time.Time   // when the node was created, with the monotonic clock's reading
-	epoch     policy.Time // Unix time at startedAt
-	ctx       context.Context
-	stop      context.CancelFunc
-	dial      func(ctx context.Context, network, addr string) (net.Conn, error) // to endpoints
-	workers   sync.WaitGroup                                                    // goroutines of the node, without those that serve clients
+	cfg     Config
+	log     *slog.Logger
+	clock   nodeClock
+	ctx     context.Context
+	stop    context.CancelFunc
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error) // to endpoints
+	workers sync.WaitGroup                                                    // goroutines of the node, without those that serve clients
 
 	phases       shutdownPhases // of the graceful shutdown
 	parser       *frontend.Parser
@@ -70,11 +69,10 @@
 // New returns an edge node that has not opened any socket. It returns an error if the policy
 // does not accept the settings.
 func New(cfg Config, log *slog.Logger) (*Node, error) {
-	startedAt := time.Now()
-	epoch := policy.Time(startedAt.UnixNano())
+	clock := newNodeClock()
 	policySettings := cfg.Settings.Policy(cfg.Seed)
 	policySettings.MaxTenants = maxTenants(cfg.MemoryBytes)
-	gateway, err := policy.New(epoch, policySettings)
+	gateway, err := policy.New(clock.epoch, policySettings)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -82,8 +80,7 @@
 	n := &Node{
 		cfg:          cfg,
 		log:          log,
-		startedAt:    startedAt,
-		epoch:        epoch,
+		clock:        clock,
 		dial:         (&net.Dialer{}).DialContext,
 		phases:       newShutdownPhases(longestDeadline(cfg.Settings)),
 		parser:       frontend.NewParser(cfg.Settings),
@@ -152,10 +149,6 @@
 	}
 }
 
-// now returns the policy's time: the wall-clock time of the node's start plus the time that
-// has passed since by the monotonic clock.
-func (n *Node) now() policy.Time { return n.epoch + time.Since(n.startedAt) }
-
 // dispatch passes an event to the policy and executes the actions that the policy returns. An
 // event that an action causes is queued until the actions before it are executed. The caller
 // holds n.mu.
@@ -167,7 +160,7 @@
 	n.dispatching = true
 	defer n.recoverPanic()
 	for i := 0; i < len(n.events); i++ { // executing an action may append an event
-		n.actions = n.gateway.Step(n.now(), n.events[i], n.actions[:0])
+		n.actions = n.gateway.Step(n.clock.now(), n.events[i], n.actions[:0])
 		for _, action := range n.actions {
 			n.execute(action)
 		}
--- a/internal/upstream/endpoint.go
+++ b/internal/upstream/endpoint.go
@@ -13,8 +13,9 @@
 type Endpoint struct {
 	id            string
 	process       Process
-	idle          []*Conn   // most recently used last
-	drainingSince time.Time // when discovery first reported it draining or removed; zero: serving
+	startedAt     policy.Time // when its process started
+	idle          []*Conn     // most recently used last
+	drainingSince time.Time   // when discovery first reported it draining or removed; zero: serving
 }
 
 // Process identifies the process that runs an endpoint, as discovery reports it. A connection
@@ -30,6 +31,9 @@
 // Addr returns the host and port at which discovery lists the endpoint.
 func (e *Endpoint) Addr() string { return e.process.Addr }
 
+// StartedAt returns when the endpoint's process started, in the policy's time.
+func (e *Endpoint) StartedAt() policy.Time { return e.startedAt }
+
 // IsServing reports whether the endpoint takes new requests according to discovery's
 // latest report.
 func (e *Endpoint) IsServing() bool { return e.drainingSince.IsZero() }
@@ -41,8 +45,9 @@
 // EndpointUpdate is discovery's report on one endpoint.
 type EndpointUpdate struct {
 	ID          string
-	Addr        string // host and port
-	StartedAtMS int64  // Unix time in ms of its process's last start; 0: not reported
+	Addr        string      // host and port
+	StartedAtMS int64       // Unix time in ms of its process's last start; 0: not reported
+	StartedAt   policy.Time // the same start in the policy's time
 	State       policy.EndpointState
 }
 
@@ -76,6 +81,7 @@
 		p.endpoints[update.ID] = endpoint
 		p.serving++
 	}
+	endpoint.startedAt = update.StartedAt
 	p.setProcess(endpoint, Process{Addr: update.Addr, StartedAtMS: update.StartedAtMS})
 	if update.State == policy.Serving || p.byAddr[update.Addr] == nil {
 		p.byAddr[update.Addr] = endpoint
