--- a/cmd/edgenode/memory_test.go
+++ b/cmd/edgenode/memory_test.go
@@ -44,6 +44,8 @@
 		{"half a body", writeNumbered(func(id int) string { return bodyRequest(id)[:32<<10] })},
 		{"further requests", writeNumbered(func(id int) string { return strings.Repeat(readRequest(id, "15000"), 300) })},
 		{"answers that are not read", writeNumbered(func(id int) string { return strings.Repeat(readRequest(id, "15000"), 20) })},
+		{"large bodies, answers that are not read", writeNumbered(func(id int) string { return strings.Repeat(bodyRequest(id), 3) })},
+		{"all kinds at once", mixedClients},
 		{"a new tenant in each request", writeNewTenants("p", "1")},
 		{"a new tenant in each request with time", writeNewTenants("n", "15000")},
 	} {
@@ -136,6 +138,19 @@
 	return float64(kilobytes) / 1024
 }
 
+// mixedClients is a client of one of several kinds, by its number.
+func mixedClients(conn net.Conn, number int, stop <-chan struct{}) {
+	kinds := []hostileClient{
+		writeOnce(strings.Repeat("abc:\r\n", 2583)),
+		writeOnce(differentFields(1900)),
+		writeNumbered(func(id int) string { return bodyRequest(id)[:32<<10] }),
+		writeNumbered(func(id int) string { return strings.Repeat(readRequest(id, "15000"), 300) }),
+		writeNumbered(func(id int) string { return strings.Repeat(bodyRequest(id), 3) }),
+		writeNewTenants("n", "15000"),
+	}
+	kinds[number%len(kinds)](conn, number, stop)
+}
+
 // writeOnce returns a client that sends a text after the start of a head, and then waits.
 func writeOnce(fields string) hostileClient {
 	return func(conn net.Conn, _ int, stop <-chan struct{}) {
