edge: large answers take memory from the budget

Bodies of answers were not charged to the memory budget: with 32 MB and 1,024 descriptors, answers of 64 KiB to clients that take little came to a peak of 27.8 MB in 6 s, and nothing bounded them. Class of bug as for heads: a limit that covers a part. Change: beyond its first 4 KiB a body is read only once memory for it is reserved; until then the attempt waits, up to its own end. Memory is released after the answer, when the client leaves and when the attempt has ended.

--- a/cmd/edgenode/memory_test.go
+++ b/cmd/edgenode/memory_test.go
@@ -45,6 +45,7 @@
 		{"further requests", writeNumbered(func(id int) string { return strings.Repeat(readRequest(id, "15000"), 300) })},
 		{"answers that are not read", writeNumbered(func(id int) string { return strings.Repeat(readRequest(id, "15000"), 20) })},
 		{"large bodies, answers that are not read", writeNumbered(func(id int) string { return strings.Repeat(bodyRequest(id), 3) })},
+		{"large answers to clients that take little", writeWithSmallBuffer},
 		{"all kinds at once", mixedClients},
 		{"a new tenant in each request", writeNewTenants("p", "1")},
 		{"a new tenant in each request with time", writeNewTenants("n", "15000")},
@@ -138,6 +139,13 @@
 	return float64(kilobytes) / 1024
 }
 
+// writeWithSmallBuffer sends requests and reads nothing, on a connection that takes little.
+func writeWithSmallBuffer(conn net.Conn, number int, stop <-chan struct{}) {
+	conn.(*net.TCPConn).SetReadBuffer(1)
+	io.WriteString(conn, strings.Repeat(readRequest(number, "15000"), 20))
+	<-stop
+}
+
 // mixedClients is a client of one of several kinds, by its number.
 func mixedClients(conn net.Conn, number int, stop <-chan struct{}) {
 	kinds := []hostileClient{
@@ -146,6 +154,7 @@
 		writeNumbered(func(id int) string { return bodyRequest(id)[:32<<10] }),
 		writeNumbered(func(id int) string { return strings.Repeat(readRequest(id, "15000"), 300) }),
 		writeNumbered(func(id int) string { return strings.Repeat(bodyRequest(id), 3) }),
+		writeWithSmallBuffer,
 		writeNewTenants("n", "15000"),
 	}
 	kinds[number%len(kinds)](conn, number, stop)
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -30,6 +30,7 @@
 	conn        *upstream.Conn     // nil: the attempt owns none
 	cancelDial  context.CancelFunc // nil: no connection is dialed
 	ended       bool
+	reserved    int64   // bytes of the memory budget reserved for the answer; owned by the attempt's goroutine
 	neverRan    bool    // the outcome proves that the endpoint did not run the request
 	actualUnits float64 // quota units that the request took, as the endpoint reports; 0: not reported
 	loadReport  policy.LoadReport
@@ -146,7 +147,8 @@
 		return
 	}
 	writtenAt := time.Now()
-	response := conn.Exchange(a.request.encode(a.endsAt.Sub(writtenAt)))
+	reserve := func(bytes int64) bool { return n.reserveAnswer(a, bytes) }
+	response := conn.Exchange(a.request.encode(a.endsAt.Sub(writtenAt)), reserve)
 	n.handleResponse(a, conn, writtenAt, response)
 }
 
@@ -225,6 +227,7 @@
 	defer n.mu.Unlock()
 	if a.ended {
 		n.pool.Evict(conn)
+		n.memoryBudget.Release(a.reserved)
 		return
 	}
 	n.pool.RecordReuse(conn, writtenAt, response.Outcome)
@@ -235,7 +238,9 @@
 		n.pool.Evict(conn)
 	}
 	if r := a.request; response.Outcome == policy.Succeeded && !r.answered {
-		n.deliverAnswer(r, answer{status: http.StatusOK, body: response.Body, contentType: response.ContentType})
+		n.deliverAnswer(r, answer{status: http.StatusOK, body: response.Body, contentType: response.ContentType, reserved: a.reserved})
+	} else {
+		n.memoryBudget.Release(a.reserved)
 	}
 	a.loadReport = response.LoadReport
 	if n.plausibleUnits(response.ActualUnits) {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"swiftpitch/internal/frontend"
 )
@@ -16,6 +17,9 @@
 	// Clients that declare long bodies and never send them can exhaust the budget, but do not
 	// keep out ordinary requests.
 	maxUnreservedBodyBytes = 4 << 10
+	// largeAnswerTimeout limits the time for writing an answer that takes memory from the budget,
+	// so that clients that do not take their answers can't hold it for long.
+	largeAnswerTimeout = 5 * time.Second
 )
 
 // errDuplicateID is returned for a request with the ID of another one that is still open, or that
@@ -101,17 +105,25 @@
 	}
 	select {
 	case a := <-r.answer:
+		if a.status == 0 { // the disconnect was detected before an attempt
+			panic(http.ErrAbortHandler)
+		}
 		return a
 	case <-req.Context().Done():
 	case <-disconnected:
 	}
 	n.clientDisconnected(r)
-	panic(http.ErrAbortHandler) // returning would send a response with status 200
+	n.memoryBudget.Release((<-r.answer).reserved) // an answer may have come at the same moment
+	panic(http.ErrAbortHandler)                   // returning would send a response with status 200
 }
 
 // respond writes a request's final answer. While the node drains, the connection closes after it,
 // unless part of a further request was read on it already.
 func (n *Node) respond(w http.ResponseWriter, conn *frontend.Conn, a answer) {
+	if a.reserved > 0 {
+		defer n.memoryBudget.Release(a.reserved)
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(largeAnswerTimeout))
+	}
 	header := w.Header()
 	header["Content-Length"] = []string{strconv.Itoa(len(a.body))}
 	header["Content-Type"] = a.contentType // from the endpoint; nil keeps net/http from guessing one
@@ -122,7 +134,7 @@
 		header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(a.status)
-	w.Write(a.body) // an error here means that the client has disconnected
+	w.Write(a.body) // an error here means that the client has disconnected, or takes too little
 }
 
 // respondOutOfMemory rejects a request whose body does not fit the memory budget.
--- a/internal/edge/healthcheck.go
+++ b/internal/edge/healthcheck.go
@@ -90,7 +90,7 @@
 func exchangeHealthCheck(ctx context.Context, conn *upstream.Conn, addr string) upstream.Response {
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(pastDeadline) })
 	text := "GET " + healthPath + " HTTP/1.1\r\nHost: " + addr + "\r\n\r\n"
-	response := conn.Exchange(net.Buffers{[]byte(text)})
+	response := conn.Exchange(net.Buffers{[]byte(text)}, reserveNone)
 	if !stop() {
 		response.Reusable = false
 	}
@@ -100,6 +100,9 @@
 	return response
 }
 
+// reserveNone refuses memory for the body of a health check's response, which is of no use.
+func reserveNone(int64) bool { return false }
+
 // endHealthCheck notifies the policy of a health check's result. The caller holds n.mu.
 func (n *Node) endHealthCheck(check *healthCheck, response upstream.Response) {
 	n.dispatch(policy.HealthCheckDone{
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -49,6 +49,7 @@
 	body        []byte
 	contentType []string // of the body, as in the endpoint's response; nil: not named
 	retryAfter  time.Duration
+	reserved    int64 // bytes of the memory budget that the body takes
 }
 
 // newRequest returns a request that was read from conn, which is nil if the request did not
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -17,6 +17,8 @@
 	maxResponseHeadBytes = 32 << 10
 	// maxBodyBytes limits a response's body in bytes.
 	maxBodyBytes = config.MaxBodyBytes
+	// UnreservedBodyBytes is how much of a response's body is read without a reservation.
+	UnreservedBodyBytes = 4 << 10
 	// maxInterimResponses limits the 1xx responses that precede the final one.
 	maxInterimResponses = 8
 )
@@ -24,6 +26,7 @@
 var (
 	errTooManyInterimResponses = errors.New("too many interim (1xx) responses")
 	errBodyTooLong             = errors.New("response body too long")
+	errNoMemory                = errors.New("no memory for the response body")
 	errUnframedHTTP10          = errors.New("HTTP/1.0 response without Content-Length: its Transfer-Encoding, if any, is not decoded")
 )
 
@@ -37,11 +40,16 @@
 	Reusable    bool    // the connection may carry another request
 }
 
+// ReserveMemory reserves memory, in bytes, for a response's body that is longer than
+// [UnreservedBodyBytes]. It may block. If it returns false, the body is not read.
+type ReserveMemory func(bytes int64) bool
+
 // Exchange writes one request and reads the whole response. It blocks until the response
 // is complete or the connection breaks, is closed or passes its deadline. The outcome
 // says that the request never ran ([policy.ConnectFailed], [policy.Overloaded]) only if
-// that is certain; a damaged response is no proof.
-func (c *Conn) Exchange(request net.Buffers) Response {
+// that is certain; a damaged response is no proof. The memory that reserve has reserved
+// belongs to the caller, whatever the outcome.
+func (c *Conn) Exchange(request net.Buffers, reserve ReserveMemory) Response {
 	if complete, err := c.write(request); err != nil {
 		if !complete {
 			return Response{Outcome: policy.ConnectFailed}
@@ -53,7 +61,7 @@
 	if err != nil {
 		return Response{Outcome: policy.ConnectionLost}
 	}
-	body, err := c.readBody(head)
+	body, err := c.readBody(head, reserve)
 	if err != nil {
 		return Response{Outcome: policy.ConnectionLost}
 	}
@@ -103,11 +111,24 @@
 
 // readBody reads a response's body completely. An unframed body is complete if the endpoint
 // closes the connection in order; a reset is a read error.
-func (c *Conn) readBody(head *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxBodyBytes+1))
+func (c *Conn) readBody(head *http.Response, reserve ReserveMemory) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(head.Body, UnreservedBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > UnreservedBodyBytes {
+		size := head.ContentLength
+		if size < 0 {
+			size = maxBodyBytes
+		}
+		if !reserve(size) {
+			return nil, errNoMemory
+		}
+		body, err = readRest(head.Body, body, size)
+		if err != nil {
+			return nil, err
+		}
+	}
 	limitReached := isUnframed(head) && c.limit.N <= 0 // the connection may not have ended there
 	if len(body) > maxBodyBytes || limitReached {
 		return nil, errBodyTooLong
@@ -115,6 +136,24 @@
 	return body, nil
 }
 
+// readRest reads a body of up to size bytes to its end, or one byte more than size. start is what
+// was read before.
+func readRest(reader io.Reader, start []byte, size int64) ([]byte, error) {
+	body := make([]byte, len(start), size+1)
+	copy(body, start)
+	for len(body) < cap(body) {
+		count, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // classify returns the result of an exchange whose HTTP response is complete.
 func classify(head *http.Response, body []byte) Response {
 	response := Response{
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -27,7 +27,7 @@
 		io.WriteString(conn, test.response)
 		return false
 	}).Addr
-	response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(getRequest("/"))
+	response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(getRequest("/"), reserveAll)
 	if response.Outcome != test.outcome || response.Reusable != test.reusable {
 		t.Errorf("outcome %d, reusable %v; want %d, %v", response.Outcome, response.Reusable, test.outcome, test.reusable)
 	}
@@ -95,7 +95,7 @@
 			conn.(*net.TCPConn).SetLinger(0) // the close resets the connection
 			return false
 		}).Addr
-		response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(getRequest("/"))
+		response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(getRequest("/"), reserveAll)
 		if response.Outcome != policy.ConnectionLost || response.Reusable {
 			t.Errorf("%q and a reset: outcome %d, reusable %v; want %d, false", text, response.Outcome, response.Reusable, policy.ConnectionLost)
 		}
@@ -116,7 +116,7 @@
 	}()
 	addr := listener.Addr().String()
 	text := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000000\r\n\r\n" + strings.Repeat("x", 100000000)
-	response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(net.Buffers{[]byte(text)})
+	response := NewConn(testsupport.Dial(t, addr), nil, Process{Addr: addr}).Exchange(net.Buffers{[]byte(text)}, reserveAll)
 	if response.Outcome != policy.ConnectFailed || response.Reusable {
 		t.Errorf("outcome %d, reusable %v; want %d, false", response.Outcome, response.Reusable, policy.ConnectFailed)
 	}
@@ -135,13 +135,13 @@
 	}).Addr
 	pool, endpoint := newTestPool(addr)
 	conn := NewConn(testsupport.Dial(t, addr), endpoint, endpoint.Process())
-	if body := string(conn.Exchange(getRequest("/first")).Body); body != "hello" {
+	if body := string(conn.Exchange(getRequest("/first"), reserveAll).Body); body != "hello" {
 		t.Fatalf("first response: body %q, want %q", body, "hello")
 	}
 	pool.Release(conn)
 	// Duplicate responses were seen to arrive up to 6 ms after the first; the network may double that.
 	if early := pool.Acquire(endpoint, conn.idleSince.Add(12*time.Millisecond)); early != nil {
-		t.Errorf("the connection is reused after 12 ms, and the response's body is %q", early.Exchange(getRequest("/second")).Body)
+		t.Errorf("the connection is reused after 12 ms, and the response's body is %q", early.Exchange(getRequest("/second"), reserveAll).Body)
 	}
 	if pool.Acquire(endpoint, conn.idleSince.Add(ReuseDelay)) != conn {
 		t.Error("the connection is not reused after ReuseDelay")
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -33,3 +33,6 @@
 	}
 	pool.Release(NewConn(testsupport.Dial(t, endpoint.Addr()), endpoint, endpoint.Process()))
 }
+
+// reserveAll is a ReserveMemory that always succeeds.
+func reserveAll(int64) bool { return true }
