frontend: requests sent ahead of the answer have no free share

Change: a connection on which part of the next request was read before the answer takes a slot of the shared rate each time, and the free rate of the others is 10 a second. Conn.BeginAnswer replaces two calls a request by one.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -127,7 +127,7 @@
 	header := w.Header()
 	header["Content-Length"] = []string{strconv.Itoa(len(a.body))}
 	header["Content-Type"] = a.contentType // from the endpoint; nil keeps net/http from guessing one
-	if n.clientConns.Draining() && (conn == nil || !conn.HasFurtherRequest()) {
+	if conn != nil && conn.BeginAnswer() {
 		header.Set("Connection", "close")
 	}
 	if a.retryAfter > 0 {
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -36,6 +36,7 @@
 	answered       int       // requests whose responses were written
 	arrivedAt      time.Time // arrival of the last data passed to net/http, or a time before it
 	allowance      requestAllowance
+	pipelining     bool          // part of the next request was read before the last answer was written
 	pausedAt       time.Time     // when reading paused last, if data has waited in the kernel since; else zero
 	hasSentRequest bool          // the client has sent at least one complete request
 	busy           bool          // a complete request is in flight
@@ -303,10 +304,19 @@
 	return c.arrivedAt
 }
 
-// HasFurtherRequest reports whether part of another request was read behind the one in flight.
-func (c *Conn) HasFurtherRequest() bool {
+// BeginAnswer records that the answer to the request in flight is about to be written. It reports
+// whether the connection must close after it, because the node drains and no part of a further
+// request was read.
+func (c *Conn) BeginAnswer() (last bool) {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
+	c.pipelining = c.hasFurtherRequest()
+	return c.tracker.draining && !c.pipelining
+}
+
+// hasFurtherRequest reports whether part of another request was read behind the one in flight.
+// The tracker's lock is held.
+func (c *Conn) hasFurtherRequest() bool {
 	if ahead := c.readAhead.Load(); ahead != nil && ahead.buffered() > 0 {
 		return true
 	}
--- a/internal/frontend/pacer.go
+++ b/internal/frontend/pacer.go
@@ -7,9 +7,9 @@
 
 const (
 	// freeRequestRate and freeRequestBurst are the requests per second, and at once, that a
-	// connection may send without using the shared rate.
-	freeRequestRate  = 100.0
-	freeRequestBurst = 20.0
+	// connection may send without using the shared rate, one at a time.
+	freeRequestRate  = 10.0
+	freeRequestBurst = 10.0
 	// sharedRequestRate is the rate, per second and processor core of the process, of the requests
 	// beyond that on all connections together.
 	sharedRequestRate = 4000.0
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -204,8 +204,9 @@
 	}
 }
 
-// requestAnswered records that a connection's request was answered. It reports whether the
-// connection has sent so many requests that the next one needs a slot of the pacer.
+// requestAnswered records that a connection's request was answered. It reports whether the next
+// one needs a slot of the pacer: the client has sent part of it before the answer, or very many
+// requests.
 func (t *Tracker) requestAnswered(conn net.Conn) (paced bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -226,7 +227,7 @@
 		c.closeLocally()
 		t.remove(c)
 	}
-	return !c.closedLocally && !c.allowance.withdraw(c.idleSince)
+	return !c.closedLocally && (c.pipelining || !c.allowance.withdraw(c.idleSince))
 }
 
 // remove deletes the record of a closed connection. The lock is held.
