socket: reads and writes go on after transient errors

ENOBUFS, ENOMEM or EINTR of one read on a client's connection counted as its disconnect, and of one write cut its answer off; of a read on a booking server's connection it failed a request that may have run.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -124,10 +124,13 @@
 	if ahead := c.readAhead.Load(); ahead != nil {
 		return ahead.Read(b)
 	}
-	count, err = c.Conn.Read(b)
+	count, err = socket.Read(c.Conn, b)
 	return count, c.arrivalAfterPause(time.Now()), err
 }
 
+// Write implements [net.Conn]; net/http calls it. A transient error must not cut an answer off.
+func (c *Conn) Write(b []byte) (int, error) { return socket.Write(c.Conn, b) }
+
 // pause waits before the connection's next request is read.
 func (c *Conn) pause(d time.Duration) {
 	if d <= 0 {
--- a/internal/frontend/readahead.go
+++ b/internal/frontend/readahead.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"swiftpitch/internal/socket"
 )
 
 const (
@@ -69,7 +71,7 @@
 		if !ok {
 			return
 		}
-		count, err := a.conn.Read(chunk[:size])
+		count, err := socket.Read(a.conn, chunk[:size])
 		if !a.store(chunk[:count], size, err, version) {
 			return
 		}
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -56,8 +56,3 @@
 		return Readable
 	}
 }
-
-// isTransient reports whether an error of recv(2) tells nothing about the connection.
-func isTransient(err error) bool {
-	return errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
-}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,7 +28,7 @@
 // slot with [Pool.Reserve]. process is the endpoint's when the dial began.
 func NewConn(netConn net.Conn, endpoint *Endpoint, process Process) *Conn {
 	c := &Conn{Conn: netConn, endpoint: endpoint, process: process}
-	c.limit.R = netConn
+	c.limit.R = socket.Reader{Reader: netConn}
 	c.reader = bufio.NewReaderSize(&c.limit, readBufferSize)
 	return c
 }
