edge: the log names why requests were refused, dropped or ended

The incident's logs showed nothing between start and end. Every 10 s, if there were any, one line now has the count and the last id of requests that were malformed, duplicates, out of memory, out of time, of an unverified client, expired, dropped when read, or ended by their client, of attempts that were withheld, and of answers that waited for memory. Counts and not single lines, so that a flood does not fill the log.

--- a/internal/edge/answermemory.go
+++ b/internal/edge/answermemory.go
@@ -9,13 +9,24 @@
 // not take their answers, it waits until there is some, the attempt ends or the node closes. The
 // attempt's goroutine calls it without holding n.mu.
 func (n *Node) reserveAnswer(a *attempt, bytes int64) bool {
+	if !n.memoryBudget.Reserve(bytes) {
+		n.requestEvents.record(eventAnswerWaited, a.request.id)
+		if !n.awaitMemory(a, bytes) {
+			return false
+		}
+	}
+	a.reserved = bytes
+	return true
+}
+
+// awaitMemory waits until memory could be reserved, or an attempt has ended.
+func (n *Node) awaitMemory(a *attempt, bytes int64) bool {
 	for !n.memoryBudget.Reserve(bytes) {
 		if n.hasEnded(a) {
 			return false
 		}
 		time.Sleep(memoryRetryInterval)
 	}
-	a.reserved = bytes
 	return true
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -35,6 +35,7 @@
 	}
 	if reserved := bodyReservation(req.ContentLength); reserved > 0 {
 		if !n.memoryBudget.Reserve(reserved) {
+			n.requestEvents.record(eventOutOfMemory, "")
 			respondOutOfMemory(w)
 			return
 		}
@@ -80,10 +81,12 @@
 func (n *Node) receiveHTTP(req *http.Request) (*request, error) {
 	parsed, err := n.parser.Parse(req)
 	if err != nil {
+		n.requestEvents.record(eventMalformed, "")
 		return nil, err
 	}
 	conn := frontend.ConnFromContext(req.Context())
 	if conn != nil && !conn.AcceptRequest() {
+		n.requestEvents.record(eventNotAccepted, parsed.Event.RequestID)
 		panic(http.ErrAbortHandler)
 	}
 	if conn != nil {
@@ -91,6 +94,7 @@
 	}
 	r := newRequest(&parsed, conn)
 	if !n.receive(r, parsed.Event) {
+		n.requestEvents.record(eventDuplicateID, r.id)
 		return nil, errDuplicateID
 	}
 	return r, nil
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -40,11 +40,12 @@
 	dial    func(ctx context.Context, network, addr string) (net.Conn, error) // to endpoints
 	workers sync.WaitGroup                                                    // goroutines of the node, without those that serve clients
 
-	phases       shutdownPhases // of the graceful shutdown
-	parser       *frontend.Parser
-	memoryBudget *frontend.MemoryBudget // for request bodies and read-ahead buffers
-	clientConns  *frontend.Tracker      // has a lock of its own
-	fatalError   chan error             // receives the error that ends the node
+	phases        shutdownPhases // of the graceful shutdown
+	parser        *frontend.Parser
+	memoryBudget  *frontend.MemoryBudget // for request bodies and read-ahead buffers
+	clientConns   *frontend.Tracker      // has a lock of its own
+	fatalError    chan error             // receives the error that ends the node
+	requestEvents eventLog               // has a lock of its own
 
 	mu          sync.Mutex
 	gateway     policyGateway
@@ -104,13 +105,14 @@
 }
 
 // start passes the endpoints of the cached list to the policy and starts the goroutines that
-// call discovery and evict idle connections.
+// call discovery, evict idle connections and report request events.
 func (n *Node) start() {
 	n.applyList(n.cfg.CachedList, policy.CachedUpdate)
 	if n.cfg.DiscoveryAddress != "" {
 		n.workers.Go(func() { n.discovery.Run(n.ctx) })
 	}
 	n.workers.Go(n.evictIdleConns)
+	n.workers.Go(n.reportEvents)
 }
 
 // close abandons the open attempts, closes idle connections to endpoints and the connection to
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -78,7 +78,8 @@
 		return false
 	}
 	r.answer = make(chan answer, 1)
-	if n.rejecting || event.Timeout <= attemptDeadlineMargin || r.clientPresence() == frontend.Unverified {
+	if reason, rejected := n.rejectionReason(r, event); rejected {
+		n.requestEvents.record(reason, r.id)
 		r.answered = true
 		r.answer <- answer{status: statusRejected}
 		return true
@@ -89,9 +90,26 @@
 	return true
 }
 
+// rejectionReason returns why a request must be rejected without the policy, if it must. The caller
+// holds n.mu.
+func (n *Node) rejectionReason(r *request, event policy.RequestReceived) (reason requestEvent, rejected bool) {
+	switch {
+	case n.rejecting:
+		return eventRejectedAtEnd, true
+	case event.Timeout <= attemptDeadlineMargin:
+		return eventNoTime, true
+	case r.clientPresence() == frontend.Unverified:
+		return eventUnverifiedClient, true
+	}
+	return 0, false
+}
+
 // expire answers a request with [statusExpired], because its deadline or the end of the process
 // is near. The caller holds n.mu.
 func (n *Node) expire(r *request) {
+	if !r.answered {
+		n.requestEvents.record(eventExpired, r.id)
+	}
 	n.abort(r, answer{status: statusExpired})
 }
 
@@ -104,6 +122,9 @@
 
 // clientDisconnectedLocked is clientDisconnected for a caller that holds n.mu.
 func (n *Node) clientDisconnectedLocked(r *request) {
+	if !r.answered {
+		n.requestEvents.record(eventClientLeft, r.id)
+	}
 	n.abort(r, answer{})
 }
 
@@ -124,6 +145,9 @@
 		return !r.answered
 	}
 	presence := r.clientPresence()
+	if presence != frontend.Connected {
+		n.requestEvents.record(eventAttemptWithheld, r.id)
+	}
 	if presence == frontend.Disconnected {
 		n.clientDisconnectedLocked(r)
 	}
