frontend: fewer locks and system calls for each request

The check for an unverified client in Node.receive peeked at the socket a second time for each request, and Conn.Read took the tracker's lock three times. It now asks the read-ahead first, and takes the lock once. While the node drains, connections are not paced.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -26,6 +26,7 @@
 	// net/http may detect it first and then cancels the request's context.
 	disconnected chan struct{}
 	readAhead    atomic.Pointer[readAhead] // nil until the client sends more while a request is in flight
+	headTooLarge atomic.Bool               // the request that is being received has too many header fields
 
 	// The tracker's lock guards the fields below.
 
@@ -67,7 +68,7 @@
 	// While a request is in flight, net/http reads one byte to detect that the client
 	// disconnects. Once it has got a byte it stops, and the read-ahead takes over.
 	isDisconnectCheck := len(b) == 1
-	if !isDisconnectCheck && c.headTooLarge() {
+	if !isDisconnectCheck && c.headTooLarge.Load() {
 		return 0, c.skipHead(b)
 	}
 	count, arrivedAt, err := c.read(b)
@@ -88,7 +89,7 @@
 }
 
 // recordRead records data that was read for net/http and returns how many bytes may be passed
-// on to it. err is the error of the read.
+// on to it. arrivedAt is zero if the data was not read ahead; err is the error of the read.
 func (c *Conn) recordRead(data []byte, arrivedAt time.Time, err error) (int, error) {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
@@ -97,8 +98,24 @@
 	}
 	c.idle = false
 	c.requestStarted = true
-	c.arrivedAt = arrivedAt
-	return c.scanner.scan(data), err
+	c.recordArrival(arrivedAt)
+	accepted := c.scanner.scan(data)
+	c.headTooLarge.Store(c.scanner.tooLarge)
+	return accepted, err
+}
+
+// recordArrival records when data arrived. If it was not read ahead, that is now, or the start of
+// the pause in which it may have waited in the kernel. The tracker's lock is held.
+func (c *Conn) recordArrival(readAheadAt time.Time) {
+	switch {
+	case !readAheadAt.IsZero():
+		c.arrivedAt = readAheadAt
+	case !c.pausedAt.IsZero():
+		c.arrivedAt = c.pausedAt
+	default:
+		c.arrivedAt = time.Now()
+	}
+	c.pausedAt = time.Time{}
 }
 
 // recordNextRequest records the byte that net/http has got in its check for a disconnect, and
@@ -112,6 +129,7 @@
 	c.idle = false
 	c.requestStarted = true
 	c.scanner.scan(data)
+	c.headTooLarge.Store(c.scanner.tooLarge)
 	if c.readAhead.Load() == nil {
 		c.readAhead.Store(newReadAhead(c.Conn, c.tracker.memory, c.disconnected))
 	}
@@ -119,13 +137,13 @@
 }
 
 // read reads from the read-ahead buffer if there is one, else from the connection. arrivedAt is
-// when the first byte arrived, or a time before it.
+// when the first byte was read ahead, or a time before it; zero: it was not read ahead.
 func (c *Conn) read(b []byte) (count int, arrivedAt time.Time, err error) {
 	if ahead := c.readAhead.Load(); ahead != nil {
 		return ahead.Read(b)
 	}
 	count, err = socket.Read(c.Conn, b)
-	return count, c.arrivalAfterPause(time.Now()), err
+	return count, time.Time{}, err
 }
 
 // Write implements [net.Conn]; net/http calls it. A transient error must not cut an answer off.
@@ -146,26 +164,6 @@
 	c.pausedAt = startedAt
 }
 
-// arrivalAfterPause returns when data that was read now arrived, or a time before it if the data
-// may have waited for the end of a pause.
-func (c *Conn) arrivalAfterPause(now time.Time) time.Time {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	if c.pausedAt.IsZero() {
-		return now
-	}
-	arrivedAt := c.pausedAt
-	c.pausedAt = time.Time{}
-	return arrivedAt
-}
-
-// headTooLarge reports whether the request that is being received has too many header fields.
-func (c *Conn) headTooLarge() bool {
-	c.tracker.mu.Lock()
-	defer c.tracker.mu.Unlock()
-	return c.scanner.tooLarge
-}
-
 // skipHead reads the rest of a head with too many fields into buffer, without passing it on. So
 // net/http's error response is not lost to the reset that closing a connection over unread data
 // causes. It returns errTooManyFields at the end of the head, or the error of a read.
@@ -289,14 +287,20 @@
 
 // Presence returns whether the client is still connected.
 func (c *Conn) Presence() Presence {
-	if c.DetectDisconnect() {
+	switch {
+	case c.DetectDisconnect():
 		return Disconnected
-	}
-	ahead := c.readAhead.Load()
-	if ahead != nil && ahead.behind() && socket.Peek(c.Conn) == socket.Readable {
+	case c.Unverified():
 		return Unverified
+	default:
+		return Connected
 	}
-	return Connected
+}
+
+// Unverified reports whether the client's presence is [Unverified], unless it has disconnected.
+func (c *Conn) Unverified() bool {
+	ahead := c.readAhead.Load()
+	return ahead != nil && ahead.behind() && socket.Peek(c.Conn) == socket.Readable
 }
 
 // RequestArrival returns when the last byte of the request that was just read arrived, or a time
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -227,7 +227,7 @@
 		c.closeLocally()
 		t.remove(c)
 	}
-	return !c.closedLocally && (c.pipelining || !c.allowance.withdraw(c.idleSince))
+	return !c.closedLocally && !t.draining && (c.pipelining || !c.allowance.withdraw(c.idleSince))
 }
 
 // remove deletes the record of a closed connection. The lock is held.
