frontend: the first bytes of a further request start its read timeout

A client that stopped after 1 to 3 bytes of a further request and stayed was closed after up to 5 s, the idle timeout of net/http, where bad clients are owed an error or a close within 3 s; until then its connection could not be evicted. Change: once part of a request was read, a read deadline of net/http is at most 2.7 s away.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -96,8 +96,13 @@
 	if c.closedLocally {
 		return 0, io.EOF
 	}
+	wasIdle := c.idle
 	c.idle = false
 	c.requestStarted = true
+	if wasIdle {
+		c.serverDeadline = c.limitReadDeadline(c.serverDeadline)
+		c.applyReadDeadline() // an error means that the connection is closed
+	}
 	c.recordArrival(arrivedAt)
 	accepted := c.scanner.scan(data)
 	c.headTooLarge.Store(c.scanner.tooLarge)
@@ -193,13 +198,24 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
-	c.serverDeadline = deadline
+	c.serverDeadline = c.limitReadDeadline(deadline)
 	if !c.evicting {
 		c.stopReadingAt = time.Time{}
 	}
 	return c.applyReadDeadline()
 }
 
+// limitReadDeadline returns a read deadline of net/http, or the latest one for a request of which
+// part was read, if that is earlier. net/http waits for the first bytes of a further request until
+// its idle timeout, even if some of them have come. The tracker's lock is held.
+func (c *Conn) limitReadDeadline(deadline time.Time) time.Time {
+	latest := time.Now().Add(ReadTimeout)
+	if c.requestStarted && !c.busy && deadline.After(latest) {
+		return latest
+	}
+	return deadline
+}
+
 // stopReading sets the time at which reading ends, unless a complete request has been read by
 // then. The tracker's lock is held.
 func (c *Conn) stopReading(at time.Time) {
--- a/internal/frontend/conn_test.go
+++ b/internal/frontend/conn_test.go
@@ -125,3 +125,45 @@
 		t.Errorf("after the answer: %d idle, %d receiving; want 0, 1", stats.Idle, stats.Receiving)
 	}
 }
+
+// Guards against clients that stop after the first bytes of a further request and stay: the time for
+// reading it ends as for any request, though net/http still waits for as long as for an idle client.
+func TestFirstBytesOfFurtherRequestLimitReadTime(t *testing.T) {
+	for name, whileInFlight := range map[string]bool{"after the answer": false, "before the answer": true} {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker(1, NewMemoryBudget(testMemory))
+			started, answer := make(chan struct{}, 1), make(chan struct{})
+			addr := startServerWith(t, tracker, func(w http.ResponseWriter, req *http.Request) {
+				answerHello(w, req)
+				started <- struct{}{}
+				<-answer
+			})
+			c := dial(t, addr)
+			io.WriteString(c, "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n")
+			testsupport.Receive(t, "the request", started)
+			if whileInFlight {
+				io.WriteString(c, "GE")
+				testsupport.Eventually(t, "the first bytes", func() bool { return tracker.Stats().ReadAhead == 1 })
+			}
+			close(answer)
+			c.readStatus()
+			if !whileInFlight {
+				testsupport.Eventually(t, "the end of the request", func() bool { return tracker.Stats().Idle == 1 })
+				io.WriteString(c, "GE")
+			}
+			var remaining time.Duration
+			testsupport.Eventually(t, "a deadline for the started request", func() bool {
+				tracker.mu.Lock()
+				defer tracker.mu.Unlock()
+				for _, conn := range tracker.conns {
+					remaining = time.Until(conn.serverDeadline)
+					return conn.requestStarted && !conn.busy && !conn.serverDeadline.IsZero()
+				}
+				return false
+			})
+			if remaining > ReadTimeout {
+				t.Errorf("the deadline is in %v, want %v at most", remaining, ReadTimeout)
+			}
+		})
+	}
+}
