edgenode: unreadable configuration files and a busy address are tried again

Related paths of errors that pass: a configuration file that could not be read for a moment (EIO, EMFILE) left a node on its old addresses until the next SIGHUP, and at the start ended it; an address that was in use for a moment ended a node at its start. Change: reading is repeated for up to 1 s, listening for up to 3 s. An invalid file still changes nothing at once. TestReloadRetriesUnreadableFile and TestListenWaitsForAddress are new; the former times out without the change.

--- a/cmd/edgenode/main.go
+++ b/cmd/edgenode/main.go
@@ -9,7 +9,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"math"
 	"os"
@@ -30,6 +32,10 @@
 	maxPendingLogLines = 256
 	// logFlushTimeout limits how long the end of the process waits for the log.
 	logFlushTimeout = 20 * time.Millisecond
+	// maxLoadRetries and loadRetryDelay limit how long a configuration file that can't be read is
+	// tried again: a new address must be in use 4 s after the signal.
+	maxLoadRetries = 10
+	loadRetryDelay = 100 * time.Millisecond
 )
 
 func main() {
@@ -49,7 +55,7 @@
 	defer logOutput.Close(logFlushTimeout)
 	log := slog.New(slog.NewTextHandler(logOutput, nil))
 	path := os.Getenv(config.FileVariable)
-	cfg, limits, err := load(path)
+	cfg, limits, err := loadWithRetries(path)
 	if err != nil {
 		return err
 	}
@@ -64,6 +70,22 @@
 	return node.Run(ctx)
 }
 
+// loadWithRetries is load, repeated while the file can't be read, because that may pass.
+func loadWithRetries(path string) (edge.Config, config.ProcessLimits, error) {
+	cfg, limits, err := load(path)
+	for retry := 0; retry < maxLoadRetries && isReadError(err); retry++ {
+		time.Sleep(loadRetryDelay)
+		cfg, limits, err = load(path)
+	}
+	return cfg, limits, err
+}
+
+// isReadError reports whether a file could not be read, as opposed to one with invalid content.
+func isReadError(err error) bool {
+	var pathError *fs.PathError
+	return errors.As(err, &pathError)
+}
+
 // load reads the configuration file and returns the configuration of the node and the limits of
 // the process.
 func load(path string) (edge.Config, config.ProcessLimits, error) {
@@ -100,7 +122,7 @@
 // invalid file is logged and changes nothing.
 func reload(hangup <-chan os.Signal, path string, node addressUpdater, log *slog.Logger) {
 	for range hangup {
-		cfg, _, err := load(path)
+		cfg, _, err := loadWithRetries(path)
 		if err != nil {
 			log.Error("configuration not reloaded", "err", err)
 			continue
--- a/cmd/edgenode/main_test.go
+++ b/cmd/edgenode/main_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"swiftpitch/internal/config"
+	"swiftpitch/internal/testsupport"
 )
 
 // Environment variables that make the test binary run edgenode instead of the tests, see TestMain.
@@ -134,6 +135,21 @@
 	}
 }
 
+// Guards against a new configuration that is not used because the file could not be read for a
+// moment.
+func TestReloadRetriesUnreadableFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	hangup := make(chan os.Signal)
+	updates := make(addressRecorder, 1)
+	go reload(hangup, path, updates, slog.New(slog.DiscardHandler))
+	hangup <- syscall.SIGHUP // there is no file yet
+	if err := os.Rename(writeConfig(t, validConfig), path); err != nil {
+		t.Fatal(err)
+	}
+	testsupport.Receive(t, "the addresses of the configuration", updates)
+	close(hangup)
+}
+
 // Guards the signals of the running program: SIGHUP reloads the configuration and does not end
 // it, not even during the graceful shutdown, and SIGTERM ends it with exit code 0.
 func TestSIGHUPReloadsAndSIGTERMShutsDown(t *testing.T) {
--- a/internal/edge/accept_test.go
+++ b/internal/edge/accept_test.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -94,3 +98,45 @@
 		})
 	}
 }
+
+// Guards against a node that ends at its start because its address is in use for a moment.
+func TestListenWaitsForAddress(t *testing.T) {
+	previous := testsupport.Listen(t)
+	cfg := testConfig(t)
+	cfg.ListenAddress = previous.Addr().String()
+	var log syncBuffer
+	node, err := New(cfg, slog.New(slog.NewTextHandler(&log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- node.Run(ctx) }()
+	testsupport.Eventually(t, "a failed attempt", func() bool { return strings.Contains(log.String(), "listening for clients fails") })
+	previous.Close()
+	testsupport.Eventually(t, "the listener", func() bool { return strings.Contains(log.String(), "msg=serving") })
+	stop()
+	if err := testsupport.Receive(t, "the end of the node", done); err != nil {
+		t.Errorf("the node ended with the error %v", err)
+	}
+}
+
+// syncBuffer is a buffer for a log that is read while it is written.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *syncBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// String returns what was written.
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -26,6 +26,13 @@
 	writeDuration      = killMargin / 2
 )
 
+const (
+	// listenTimeout limits how long the node tries to open its listener.
+	listenTimeout = 3 * time.Second
+	// listenRetryDelay is the pause between two attempts.
+	listenRetryDelay = 100 * time.Millisecond
+)
+
 // shutdownPhases holds the durations of the phases of a graceful shutdown.
 type shutdownPhases struct {
 	acceptDuration time.Duration // from the request to shut down until new connections are refused
@@ -48,13 +55,26 @@
 // that it has received. It returns nil after a graceful shutdown, even if connections had to be
 // cut off.
 func (n *Node) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", n.cfg.ListenAddress)
+	ln, err := n.listen(ctx)
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
 	return n.serve(ctx, ln.(*net.TCPListener))
 }
 
+// listen opens the listener for clients. It repeats an attempt that fails for listenTimeout, because
+// the address or a resource may become free.
+func (n *Node) listen(ctx context.Context) (net.Listener, error) {
+	for deadline := time.Now().Add(listenTimeout); ; {
+		ln, err := net.Listen("tcp", n.cfg.ListenAddress)
+		if err == nil || ctx.Err() != nil || time.Now().After(deadline) {
+			return ln, err
+		}
+		n.log.Warn("listening for clients fails", "err", err)
+		time.Sleep(listenRetryDelay)
+	}
+}
+
 // serve is Run on an open listener.
 func (n *Node) serve(ctx context.Context, ln frontend.DeadlineListener) error {
 	server := frontend.NewServer(ln, frontend.ServerConfig{
