--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -25,20 +25,25 @@
 // and may run while another goroutine reads from the connection. A connection that is
 // closed on this side counts as Closed.
 func Peek(conn net.Conn) PeerState {
+	state := Unknown
+	if !withDescriptor(conn, func(fd int) { state = peekDescriptor(fd) }) {
+		return Closed
+	}
+	return state
+}
+
+// withDescriptor calls f with the descriptor of a connection, if that is a socket. It returns false
+// if the connection is closed on this side.
+func withDescriptor(conn net.Conn, f func(fd int)) bool {
 	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
-		return Unknown
+		return true
 	}
 	raw, err := syscallConn.SyscallConn()
 	if err != nil {
-		return Closed
-	}
-	state := Unknown
-	err = raw.Control(func(fd uintptr) { state = peekDescriptor(int(fd)) })
-	if err != nil {
-		return Closed
+		return false
 	}
-	return state
+	return raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
 
 // peekDescriptor reads one byte of a socket's receive buffer without consuming it.
--- a/internal/socket/peek_test.go
+++ b/internal/socket/peek_test.go
@@ -57,3 +57,22 @@
 	t.Helper()
 	testsupport.Eventually(t, fmt.Sprintf("peer state %d", want), func() bool { return Peek(conn) == want })
 }
+
+// TestPeerHasClosedBehindData checks that the end of a connection is seen behind data that nobody has
+// read, after an orderly close and after a reset.
+func TestPeerHasClosedBehindData(t *testing.T) {
+	for name, reset := range map[string]bool{"close": false, "reset": true} {
+		listener := testsupport.Listen(t)
+		peer, conn := testsupport.Connect(t, listener)
+		io.WriteString(peer, "x")
+		waitForState(t, conn, Readable)
+		if PeerHasClosed(conn) {
+			t.Errorf("%s: the peer counts as closed before it closes", name)
+		}
+		if reset {
+			peer.(*net.TCPConn).SetLinger(0)
+		}
+		peer.Close()
+		testsupport.Eventually(t, name+" of the peer", func() bool { return PeerHasClosed(conn) })
+	}
+}
--- a/internal/socket/poll.go
+++ b/internal/socket/poll.go
@@ -27,17 +27,9 @@
 // in order or by a reset, even if there is data to read before it. It returns false if that is
 // not known. It consumes nothing and does not block.
 func PeerHasClosed(conn net.Conn) bool {
-	syscallConn, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return true
-	}
 	closed := false
-	err = raw.Control(func(fd uintptr) { closed = pollClosed(int32(fd)) })
-	return closed || err != nil
+	open := withDescriptor(conn, func(fd int) { closed = pollClosed(int32(fd)) })
+	return closed || !open
 }
 
 // pollClosed polls one descriptor without waiting.
