frontend: while draining, an answer does not close a connection over unread data

Change: while the node drains, an answer closes the connection only if the kernel holds no data either.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"swiftpitch/internal/socket"
 )
 
 // Conn is a client's connection, accepted by a [Server] and registered with its [Tracker].
@@ -130,12 +132,12 @@
 
 // BeginAnswer records that the answer to the request in flight is about to be written. It reports
 // whether the connection must close after it, because the node drains and no part of a further
-// request was read.
+// request has arrived.
 func (c *Conn) BeginAnswer() (last bool) {
 	c.tracker.mu.Lock()
 	defer c.tracker.mu.Unlock()
 	c.pipelining = c.hasFurtherRequest()
-	return c.tracker.draining && !c.pipelining
+	return c.tracker.draining && !c.pipelining && socket.Peek(c.Conn) != socket.Readable
 }
 
 // hasFurtherRequest reports whether part of another request was read behind the one in flight.
--- a/internal/frontend/conn_test.go
+++ b/internal/frontend/conn_test.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"testing"
 	"time"
 
+	"swiftpitch/internal/socket"
 	"swiftpitch/internal/testsupport"
 )
 
@@ -167,3 +169,20 @@
 		})
 	}
 }
+
+// Guards a further request that has arrived while the node drains and that nobody has read yet: the
+// answer before it must not close the connection over it.
+func TestAnswerDoesNotCloseConnectionOverUnreadRequest(t *testing.T) {
+	tracker := NewTracker(1, NewMemoryBudget(testMemory))
+	listener := NewListener(testsupport.Listen(t), tracker, slog.New(slog.DiscardHandler))
+	clientConn, c := connect(t, listener)
+	tracker.startDraining()
+	if !c.BeginAnswer() {
+		t.Error("without a further request, the connection stays open after the answer")
+	}
+	io.WriteString(clientConn, "G")
+	testsupport.Eventually(t, "the first byte", func() bool { return socket.Peek(c.Conn) == socket.Readable })
+	if c.BeginAnswer() {
+		t.Error("with an unread byte of a further request, the connection closes after the answer")
+	}
+}
