--- a/internal/edge/healthcheck.go
+++ b/internal/edge/healthcheck.go
@@ -90,7 +90,7 @@
 func exchangeHealthCheck(ctx context.Context, conn *upstream.Conn, addr string) upstream.Response {
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(pastDeadline) })
 	text := "GET " + healthPath + " HTTP/1.1\r\nHost: " + addr + "\r\n\r\n"
-	response := conn.Exchange(net.Buffers{[]byte(text)}, reserveNone)
+	response := conn.Exchange(net.Buffers{[]byte(text)}, withoutReservation)
 	if !stop() {
 		response.Reusable = false
 	}
@@ -100,8 +100,9 @@
 	return response
 }
 
-// reserveNone refuses memory for the body of a health check's response, which is of no use.
-func reserveNone(int64) bool { return false }
+// withoutReservation lets the body of a health check's response be read without a reservation of
+// memory: few health checks are in progress at a time, and their bodies are dropped at once.
+func withoutReservation(int64) bool { return true }
 
 // endHealthCheck notifies the policy of a health check's result. The caller holds n.mu.
 func (n *Node) endHealthCheck(check *healthCheck, response upstream.Response) {
