--- a/internal/edge/doc.go
+++ b/internal/edge/doc.go
@@ -14,8 +14,11 @@
 // [counterclient] and [discovery].
 //
 // The files of this package: node.go contains the node and its event loop, handler.go the HTTP
-// handler, request.go the lifecycle of a request, attempt.go and healthcheck.go the attempts
-// and health checks, upstreamconn.go their connections to endpoints, endpoints.go the list of
-// endpoints, discovery.go and counter.go the setup of the discovery client and the counter
-// client, limits.go the limits on descriptors and memory, and shutdown.go the graceful shutdown.
+// handler, request.go the lifecycle of a request, ranrequests.go the IDs of requests that must not
+// run again, attempt.go and healthcheck.go the attempts and health checks, answermemory.go the
+// memory for their answers, dial.go and upstreamconn.go their connections to endpoints,
+// endpoints.go the list of endpoints, discovery.go and counter.go the setup of the discovery client
+// and the counter client, clock.go the policy's time, eventlog.go the report on requests that did
+// not take their usual course, limits.go the limits on descriptors and memory, and shutdown.go
+// listening and the graceful shutdown.
 package edge
--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -2,9 +2,10 @@
 // accepts connections, limits their number, and parses requests.
 //
 // A [Server] accepts connections and serves HTTP on them with net/http. A [Tracker] records
-// every open connection, limits their number, and closes the idle ones when the node
-// drains. A [Conn] also detects that its client disconnects while a request is in flight. A
-// [Parser] validates a request and reads its body.
+// every open connection, limits their number and the rate of requests on fast ones, and closes
+// the idle ones when the node drains. A [Conn] also detects that its client disconnects while a
+// request is in flight, finds the ends of requests in the data that net/http reads, and refuses
+// heads with too many fields. A [Parser] validates a request and reads its body.
 //
 // The package does not decide which requests are admitted: the edge node's
 // [net/http.Handler] does, and calls [Conn.AcceptRequest] once it has read a request. The
