edge: little memory lowers the limit on client connections

Change: client connections take at most 42% of the memory at 40 KB each: 344 at 32 MB, over the third of the descriptors that clients hold for requests; from 41 MB on nothing changes.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -5,6 +5,10 @@
 const (
 	// clientConnShare is the share of the file descriptors that client connections may use.
 	clientConnShare = 0.42
+	// clientConnMemoryShare is the share of the process's memory for client connections, each of
+	// which takes up to bytesPerClientConn with its buffers, goroutines and attempt.
+	clientConnMemoryShare = 0.42
+	bytesPerClientConn    = 40 << 10
 	// upstreamConnShare is the share of the file descriptors for connections to endpoints.
 	upstreamConnShare = 0.42
 	// reservedDescriptors is the number of file descriptors for all but connections to clients
@@ -36,13 +40,17 @@
 	return max(min(int(float64(descriptors)*share), (descriptors-reservedDescriptors)/2), 1)
 }
 
-// maxClientConns returns the limit on client connections. descriptors is 0 if their number is
-// not configured.
-func maxClientConns(descriptors int) int {
-	if descriptors <= 0 {
-		return defaultClientConns
+// maxClientConns returns the limit on client connections. descriptors and memory, in bytes, are 0
+// if they are not configured.
+func maxClientConns(descriptors int, memory int64) int {
+	limit := defaultClientConns
+	if descriptors > 0 {
+		limit = maxConns(descriptors, clientConnShare)
+	}
+	if memory > 0 {
+		limit = min(limit, int(clientConnMemoryShare*float64(memory)/bytesPerClientConn))
 	}
-	return maxConns(descriptors, clientConnShare)
+	return max(limit, 1)
 }
 
 // maxUpstreamConns returns the limit on connections to endpoints. descriptors is 0 if their
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -83,3 +83,18 @@
 		}
 	}
 }
+
+// Guards the memory against as many clients as the descriptors allow: little memory lowers the limit
+// on client connections, but not below the third of the descriptors that clients hold for requests.
+func TestLittleMemoryLimitsClientConnections(t *testing.T) {
+	const mb = 1 << 20
+	for _, test := range []struct {
+		descriptors int
+		memory      int64
+		want        int
+	}{{1024, 0, 430}, {1024, 192 * mb, 430}, {1024, 48 * mb, 430}, {1024, 32 * mb, 344}, {256, 32 * mb, 107}, {0, 0, defaultClientConns}} {
+		if got := maxClientConns(test.descriptors, test.memory); got != test.want {
+			t.Errorf("%d descriptors, %d bytes: %d client connections, want %d", test.descriptors, test.memory, got, test.want)
+		}
+	}
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -86,7 +86,7 @@
 		phases:       newShutdownPhases(longestDeadline(cfg.Settings)),
 		parser:       frontend.NewParser(cfg.Settings),
 		memoryBudget: memory,
-		clientConns:  frontend.NewTracker(maxClientConns(cfg.MaxDescriptors), memory),
+		clientConns:  frontend.NewTracker(maxClientConns(cfg.MaxDescriptors, cfg.MemoryBytes), memory),
 		fatalError:   make(chan error, 1),
 		gateway:      gateway,
 		requests:     map[string]*request{},
