--- a/internal/edge/dial.go
+++ b/internal/edge/dial.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"syscall"
 	"time"
+
+	"swiftpitch/internal/socket"
 )
 
 // dialRetryDelay is the pause before a dial is repeated that failed for a cause on this machine.
@@ -21,12 +22,7 @@
 
 // isLocalDialError reports whether a dial failed for a cause on this machine.
 func isLocalDialError(err error) bool {
-	for _, local := range localDialErrors {
-		if errors.Is(err, local) {
-			return true
-		}
-	}
-	return false
+	return socket.IsOneOf(err, localDialErrors)
 }
 
 // dialEndpoint opens a connection to an endpoint at addr. It repeats a dial that fails for a
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -8,6 +8,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"swiftpitch/internal/socket"
 )
 
 const (
@@ -57,7 +59,7 @@
 			l.recordSuccess()
 			return newConn(conn, l.tracker), nil
 		}
-		if isBroken(err) {
+		if socket.IsOneOf(err, brokenListenerErrors) {
 			return nil, err
 		}
 		time.Sleep(l.recordFailure(err))
@@ -83,16 +85,6 @@
 	return conn, err
 }
 
-// isBroken reports whether no call of accept can succeed after an error.
-func isBroken(err error) bool {
-	for _, broken := range brokenListenerErrors {
-		if errors.Is(err, broken) {
-			return true
-		}
-	}
-	return false
-}
-
 // recordFailure counts a failed accept and returns the pause before the next one.
 func (l *Listener) recordFailure(err error) time.Duration {
 	if l.failures == 0 {
--- a/internal/socket/retry.go
+++ b/internal/socket/retry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -19,14 +20,14 @@
 // same call may succeed in a moment.
 var transientErrors = []error{syscall.EINTR, syscall.ENOBUFS, syscall.ENOMEM}
 
+// IsOneOf reports whether an error is one of a list, see [errors.Is].
+func IsOneOf(err error, list []error) bool {
+	return slices.ContainsFunc(list, func(listed error) bool { return errors.Is(err, listed) })
+}
+
 // isTransient reports whether an error tells nothing about the connection.
 func isTransient(err error) bool {
-	for _, transient := range transientErrors {
-		if errors.Is(err, transient) {
-			return true
-		}
-	}
-	return false
+	return IsOneOf(err, transientErrors)
 }
 
 // Read reads once from a connection, and again after transient errors.
