--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -98,7 +98,7 @@
 		return eventRejectedAtEnd, true
 	case event.Timeout <= attemptDeadlineMargin:
 		return eventNoTime, true
-	case r.conn != nil && r.conn.Unverified():
+	case r.conn != nil && r.conn.IsUnverified():
 		return eventUnverifiedClient, true
 	}
 	return 0, false
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -21,28 +21,28 @@
 	tracker *Tracker
 	// disconnected is closed when this package detects that the client has disconnected.
 	// net/http may detect it first and then cancels the request's context.
-	disconnected chan struct{}
-	readAhead    atomic.Pointer[readAhead] // nil until the client sends more while a request is in flight
-	headTooLarge atomic.Bool               // the request that is being received has too many header fields
+	disconnected  chan struct{}
+	readAhead     atomic.Pointer[readAhead] // nil until the client sends more while a request is in flight
+	tooManyFields atomic.Bool               // the request that is being received has too many header fields
 
 	// The tracker's lock guards the fields below.
 
-	idleSince      time.Time // when the connection was accepted or its last request was answered
-	idle           bool      // the last request is answered, and no byte of the next one was read
-	requestStarted bool      // part of a request was read that is not accepted yet
-	scanner        requestScanner
-	answered       int       // requests whose responses were written
-	arrivedAt      time.Time // arrival of the last data passed to net/http, or a time before it
-	allowance      requestAllowance
-	pipelining     bool          // part of the next request was read before the last answer was written
-	pausedAt       time.Time     // when reading paused last, if data has waited in the kernel since; else zero
-	hasSentRequest bool          // the client has sent at least one complete request
-	busy           bool          // a complete request is in flight
-	closedLocally  bool          // the node closed the connection between requests
-	evicting       bool          // reading was stopped to evict the connection, unless its request turns out to be complete
-	serverDeadline time.Time     // read deadline set by net/http; zero: none
-	stopReadingAt  time.Time     // read deadline set by the tracker; zero: none
-	evictionEnded  chan struct{} // closed when the eviction ends: the connection has ended or is kept; nil: never evicted
+	idleSince        time.Time // when the connection was accepted or its last request was answered
+	idle             bool      // the last request is answered, and no byte of the next one was read
+	requestStarted   bool      // part of a request was read that is not accepted yet
+	scanner          requestScanner
+	answeredRequests int       // requests whose responses were written
+	arrivedAt        time.Time // arrival of the last data passed to net/http, or a time before it
+	allowance        requestAllowance
+	pipelining       bool          // part of the next request was read before the last answer was written
+	pausedAt         time.Time     // when reading paused last, if data has waited in the kernel since; else zero
+	hasSentRequest   bool          // the client has sent at least one complete request
+	busy             bool          // a complete request is in flight
+	closedLocally    bool          // the node closed the connection between requests
+	evicting         bool          // reading was stopped to evict the connection, unless its request turns out to be complete
+	serverDeadline   time.Time     // read deadline set by net/http; zero: none
+	stopReadingAt    time.Time     // read deadline set by the tracker; zero: none
+	evictionEnded    chan struct{} // closed when the eviction ends: the connection has ended or is kept; nil: never evicted
 }
 
 func newConn(conn net.Conn, tracker *Tracker) *Conn {
@@ -146,7 +146,7 @@
 	if ahead := c.readAhead.Load(); ahead != nil && ahead.buffered() > 0 {
 		return true
 	}
-	return c.scanner.started || c.scanner.completed > c.answered+1
+	return c.scanner.started || c.scanner.completed > c.answeredRequests+1
 }
 
 // AcceptRequest marks the connection as busy with a request that was read completely and
--- a/internal/frontend/connread.go
+++ b/internal/frontend/connread.go
@@ -15,7 +15,7 @@
 	// While a request is in flight, net/http reads one byte to detect that the client
 	// disconnects. Once it has got a byte it stops, and the read-ahead takes over.
 	isDisconnectCheck := len(b) == 1
-	if !isDisconnectCheck && c.headTooLarge.Load() {
+	if !isDisconnectCheck && c.tooManyFields.Load() {
 		return 0, c.skipHead(b)
 	}
 	count, arrivedAt, err := c.read(b)
@@ -52,7 +52,7 @@
 	}
 	c.recordArrival(arrivedAt)
 	accepted := c.scanner.scan(data)
-	c.headTooLarge.Store(c.scanner.tooLarge)
+	c.tooManyFields.Store(c.scanner.tooManyFields)
 	return accepted, err
 }
 
@@ -81,7 +81,7 @@
 	c.idle = false
 	c.requestStarted = true
 	c.scanner.scan(data)
-	c.headTooLarge.Store(c.scanner.tooLarge)
+	c.tooManyFields.Store(c.scanner.tooManyFields)
 	if c.readAhead.Load() == nil {
 		c.readAhead.Store(newReadAhead(c.Conn, c.tracker.memory, c.disconnected))
 	}
--- a/internal/frontend/presence.go
+++ b/internal/frontend/presence.go
@@ -48,15 +48,15 @@
 	switch {
 	case c.DetectDisconnect():
 		return Disconnected
-	case c.Unverified():
+	case c.IsUnverified():
 		return Unverified
 	default:
 		return Connected
 	}
 }
 
-// Unverified reports whether the client's presence is [Unverified], unless it has disconnected.
-func (c *Conn) Unverified() bool {
+// IsUnverified reports whether the client's presence is [Unverified], unless it has disconnected.
+func (c *Conn) IsUnverified() bool {
 	ahead := c.readAhead.Load()
 	return ahead != nil && ahead.behind() && socket.Peek(c.Conn) == socket.Readable
 }
--- a/internal/frontend/requestscanner.go
+++ b/internal/frontend/requestscanner.go
@@ -21,9 +21,9 @@
 // requests begin and end. A request that net/http refuses may be scanned wrongly, as its
 // connection ends after the response. The tracker's lock guards it.
 type requestScanner struct {
-	completed int  // requests that were passed on completely
-	started   bool // part of a further request was passed on
-	tooLarge  bool // the head of that request has too many fields
+	completed     int  // requests that were passed on completely
+	started       bool // part of a further request was passed on
+	tooManyFields bool // the head of that request has too many fields
 
 	inBody   bool
 	bodyLeft int64 // bytes of the body that are still to come
@@ -44,7 +44,7 @@
 		} else {
 			rest = rest[s.scanLine(rest):]
 		}
-		if !s.tooLarge {
+		if !s.tooManyFields {
 			accepted = len(chunk) - len(rest)
 		}
 	}
@@ -89,7 +89,7 @@
 		return
 	}
 	s.lines++
-	s.tooLarge = s.tooLarge || s.lines > maxHeaderFields+1 // the first line is no field
+	s.tooManyFields = s.tooManyFields || s.lines > maxHeaderFields+1 // the first line is no field
 	name, value, _ := strings.Cut(line, ":")
 	if len(name) == len(contentLengthField) && strings.EqualFold(name, contentLengthField) {
 		length, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
--- a/internal/frontend/requestscanner_test.go
+++ b/internal/frontend/requestscanner_test.go
@@ -60,8 +60,8 @@
 			accepted += scanner.scan([]byte(chunk))
 			rest = rest[len(chunk):]
 		}
-		if want := 2*len(allowed) + len("\r\n") + 400; accepted < want || accepted > want+len("a:\r") || !scanner.tooLarge {
-			t.Errorf("chunks of %d: %d bytes accepted, too large: %v; want %d, true", chunkSize, accepted, scanner.tooLarge, want)
+		if want := 2*len(allowed) + len("\r\n") + 400; accepted < want || accepted > want+len("a:\r") || !scanner.tooManyFields {
+			t.Errorf("chunks of %d: %d bytes accepted, too large: %v; want %d, true", chunkSize, accepted, scanner.tooManyFields, want)
 		}
 		if scanner.completed != 1 || !scanner.inBody {
 			t.Errorf("chunks of %d: %d requests completed, in a body: %v; want 1, true", chunkSize, scanner.completed, scanner.inBody)
--- a/internal/frontend/tracker.go
+++ b/internal/frontend/tracker.go
@@ -214,8 +214,8 @@
 	if c == nil {
 		return false
 	}
-	c.answered++
-	c.requestStarted = c.scanner.started || c.scanner.completed > c.answered
+	c.answeredRequests++
+	c.requestStarted = c.scanner.started || c.scanner.completed > c.answeredRequests
 	c.idle = !c.requestStarted
 	c.busy = false
 	c.idleSince = time.Now()
