policy: first tries and retries of clients are treated alike

Cause: retryReserve and the branches on IsRetry in requestReceived, evidenceFor and newOverQuotaEstimates.

Change: the policy is no longer told whether a request is a retry. The edge node ignores X-Second-Try and the adapter isRetry; both stay part of the wire.

--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -33,10 +33,8 @@
 	termsHeader   = "Api-Terms"
 )
 
-const (
-	idempotencyKeyHeader = "Idempotency-Key" // required by some classes, not allowed by the others
-	retryHeader          = "X-Second-Try"    // "1" if the request is a client's retry
-)
+// idempotencyKeyHeader is the header that some classes require; the others do not allow it.
+const idempotencyKeyHeader = "Idempotency-Key"
 
 // Request is a client's request, validated and read completely.
 type Request struct {
@@ -167,7 +165,6 @@
 		RequestID: headers.traceID,
 		Class:     p.classIndex(headers.class),
 		Plan:      p.planIndex(headers.plan),
-		IsRetry:   req.Header.Get(retryHeader) == "1",
 	}
 	if event.Class < 0 || event.Plan < 0 {
 		return event, ErrUnknownClassOrPlan
--- a/internal/frontend/request_test.go
+++ b/internal/frontend/request_test.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// Guards that the mark of a client's retry changes nothing: each try is decided like any other.
+func TestMarkOfRetryIsIgnored(t *testing.T) {
+	parser := NewParser(parserSettings())
+	unmarked, err := parser.Parse(newHTTPRequest("lookup"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req := newHTTPRequest("lookup")
+	req.Header.Set("X-Second-Try", "1")
+	marked, err := parser.Parse(req)
+	if err != nil || marked.Event != unmarked.Event || string(marked.ForwardHead) != string(unmarked.ForwardHead) {
+		t.Errorf("marked retry: %+v, error %v; want %+v", marked, err, unmarked)
+	}
+}
+
 // setHeader returns an edit of a request that replaces the values of a header.
 func setHeader(name string, values ...string) func(*http.Request) {
 	return func(req *http.Request) { req.Header[name] = values }
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -2,10 +2,7 @@
 
 import "time"
 
-const (
-	retryReserve    = 0.8  // fraction of the allocation's token bucket reserved for new requests (not marked as retries by the client)
-	retryAfterShare = 0.15 // Retry-After of a rejection on admission, as a fraction of the latency objective; a retry after a longer wait earns nothing
-)
+const retryAfterShare = 0.15 // Retry-After of a rejection on admission, as a fraction of the latency objective; a retry after a longer wait earns nothing
 
 // requestReceived admits a request and starts its first attempt, holds it for a counter
 // call, or rejects it at once.
@@ -26,14 +23,12 @@
 		g.admitBySharedBucket(r, &g.overQuota.byPlan[ev.Plan])
 		return
 	}
-	if !ev.IsRetry {
-		t.offered += ev.Units // a retry marked by the client was counted before, perhaps at another gateway
-	}
-	if t.admits(ev.Units, ev.IsRetry) {
+	t.offered += ev.Units
+	if t.admits(ev.Units) {
 		g.decide(r, true)
 		return
 	}
-	if !ev.IsRetry && t.withinLimits(ev.Units) && g.requestSpareQuota(r) {
+	if t.withinLimits(ev.Units) && g.requestSpareQuota(r) {
 		return
 	}
 	g.decide(r, false)
@@ -71,7 +66,6 @@
 		units:           ev.Units,
 		deadline:        deadline,
 		latencyDeadline: min(objectiveAt, deadline),
-		isRetry:         ev.IsRetry,
 	}
 }
 
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -82,7 +82,8 @@
 }
 
 // RequestReceived is a client's complete request. It gets exactly one final answer, unless
-// the client disconnects first.
+// the client disconnects first. It does not tell whether the client has sent the request before:
+// every try has the same claim to the tenant's quota, and is part of its demand.
 type RequestReceived struct {
 	RequestID      string
 	Class          int // index into [Settings.Classes]
@@ -91,7 +92,6 @@
 	Timeout        time.Duration // until the client gives up on this request
 	Units          float64       // units that it takes from the quota and the hard limit
 	TenantGateways int           // number of gateways that receive the tenant's requests
-	IsRetry        bool          // marked by the client as a retry
 }
 
 // AttemptEnded reports how an attempt ended. There is exactly one for each attempt.
--- a/internal/policy/overquota.go
+++ b/internal/policy/overquota.go
@@ -2,14 +2,13 @@
 
 const (
 	estimateSmoothingFactor = 0.05        // weight of one request checked at the counter in an estimate
-	initialOverQuotaShare   = 0.3         // initial estimate of the share of new requests over quota; 1 minus this for retries, as most follow a rejection
+	initialOverQuotaShare   = 0.3         // initial estimate of the share of requests over quota
 	minOverQuotaLoss        = minCallRate // least expected loss from forwarding a request, as a fraction of its value
 	minRelativeRisk         = 0.2         // least value at risk, relative to the mean, that is used for the probability of a call
 )
 
 // quotaEvidence is the kind of knowledge that this gateway has of a tenant's quota when a
-// request comes. The probability that a request is over quota is estimated for each kind,
-// and for retries apart, since most of them follow a rejection.
+// request comes. The probability that a request is over quota is estimated for each kind.
 type quotaEvidence int
 
 const (
@@ -21,18 +20,14 @@
 	quotaEvidenceKinds                        // number of kinds
 )
 
-// forRetry returns the evidence of the same kind for a retry.
-func (e quotaEvidence) forRetry() quotaEvidence { return e + quotaEvidenceKinds }
-
 // overQuotaEstimates holds the estimated share of requests over quota for each kind of
 // evidence, over all tenants of a plan.
-type overQuotaEstimates [2 * quotaEvidenceKinds]float64
+type overQuotaEstimates [quotaEvidenceKinds]float64
 
 func newOverQuotaEstimates() overQuotaEstimates {
 	var estimates overQuotaEstimates
 	for kind := range quotaEvidenceKinds {
 		estimates[kind] = initialOverQuotaShare
-		estimates[kind.forRetry()] = 1 - initialOverQuotaShare
 	}
 	return estimates
 }
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -31,7 +31,6 @@
 	attempts              []attempt
 	done                  bool // it has its final answer, or its client has disconnected
 	responseStarted       bool // a response has begun to stream to the client
-	isRetry               bool // marked by the client as a retry
 }
 
 // allowsAttemptAt reports whether an attempt at ep is safe after the earlier ones: a
--- a/internal/policy/sharedbucket.go
+++ b/internal/policy/sharedbucket.go
@@ -61,21 +61,17 @@
 
 // evidenceFor returns the kind of evidence on which a request's estimate is based.
 func (t *tenantState) evidenceFor(r *request) quotaEvidence {
-	kind := noQuotaEvidence
 	switch {
 	case t.sharedBucket.hasReading() && t.sharedBucket.sufficient:
-		kind = bucketSufficient
+		return bucketSufficient
 	case t.sharedBucket.hasReading():
-		kind = bucketInsufficient
+		return bucketInsufficient
 	case t.tokens < r.units-unitTolerance:
-		kind = localTokensExhausted
+		return localTokensExhausted
 	case t.sharedBucketUsed:
-		kind = localTokensLeft
+		return localTokensLeft
 	}
-	if r.isRetry {
-		return kind.forRetry()
-	}
-	return kind
+	return noQuotaEvidence
 }
 
 // decideUncoordinated decides a request without the counter's total: by its risk, the limits
--- a/internal/policy/tenant.go
+++ b/internal/policy/tenant.go
@@ -28,7 +28,7 @@
 	intervalIndex         int64         // index of the running interval, counted from the clock's epoch
 	intervalsSinceRequest int           // intervals that ended since the last request
 	lastRequestAt         Time
-	offered               float64 // units offered here in the running interval; includes rejected requests, but no retries marked by clients
+	offered               float64 // units offered here in the running interval; includes rejected requests
 	reported              float64 // part of offered that spare quota calls have already added to the counter
 	localDemand           float64 // units offered here per interval, smoothed
 	fleetDemand           float64 // units offered at all gateways per interval, smoothed
@@ -143,12 +143,8 @@
 
 // admits reports whether the allocation's tokens, the hard limit and the limit on
 // concurrent attempts have capacity for a request.
-func (t *tenantState) admits(units float64, isRetry bool) bool {
-	requiredTokens := units - unitTolerance
-	if isRetry { // new requests have priority: a client's retry has used up part of its latency objective and is often late
-		requiredTokens += retryReserve * (t.tokenCapacity() - units)
-	}
-	return (t.plan.Rate == 0 || t.tokens >= requiredTokens) && t.withinLimits(units)
+func (t *tenantState) admits(units float64) bool {
+	return (t.plan.Rate == 0 || t.tokens >= units-unitTolerance) && t.withinLimits(units)
 }
 
 // withinLimits reports whether this gateway's shares of the hard limit and of the limit
