--- a/internal/policy/slowstart_sim_test.go
+++ b/internal/policy/slowstart_sim_test.go
@@ -18,7 +18,7 @@
 	simEndpoints      = 30
 	simCapacity       = 12.0 // mean number of requests that a warm endpoint serves in a second
 	simOneWayLatency  = 2 * ms
-	simMaxQueue       = 60 // requests waiting at an endpoint; further ones are rejected
+	simMaxQueue       = 60 // requests at an endpoint; further ones are rejected
 	simClientTimeout  = 2500 * ms
 	simMaxUpdateDelay = time.Second // longest delay of a discovery update to a gateway
 )
@@ -29,6 +29,10 @@
 	t                 *testing.T
 	rng               *rand.Rand
 	settings          policy.Settings
+	meanWork          []time.Duration // of a request at a warm endpoint, by class
+	cores             int             // requests that an endpoint works on at a time
+	maxQueue          int             // requests at an endpoint; further ones are rejected
+	counter           fakeCounter
 	gateways          []*simGateway
 	cumulativeWeights []float64 // cumulative shares of the traffic, by gateway
 	endpointsByID     map[string]*simEndpoint
@@ -41,13 +45,26 @@
 // six times the traffic of each other gateway.
 func newSimFleet(t *testing.T, gateways int, uneven bool) *simFleet {
 	t.Helper()
-	f := &simFleet{t: t, rng: rand.New(rand.NewPCG(uint64(gateways), 21)), settings: simSettings(gateways),
-		endpointsByID: map[string]*simEndpoint{}}
-	for i := range simEndpoints {
+	f := &simFleet{
+		t:        t,
+		rng:      rand.New(rand.NewPCG(uint64(gateways), 21)),
+		settings: simSettings(gateways),
+		meanWork: []time.Duration{time.Second / simCapacity},
+		cores:    1,
+		maxQueue: simMaxQueue,
+	}
+	f.start(simEndpoints, uneven)
+	return f
+}
+
+// start adds warm endpoints and the gateways, whose number the settings tell.
+func (f *simFleet) start(endpoints int, uneven bool) {
+	f.counter, f.endpointsByID = fakeCounter{}, map[string]*simEndpoint{}
+	for i := range endpoints {
 		f.addEndpoint(fmt.Sprint("s", i), 0)
 	}
 	sum := 0.0
-	for i := range gateways {
+	for i := range f.settings.Gateways {
 		weight := 1.0
 		if uneven && i%8 == 0 {
 			weight = 6 // about four times the mean
@@ -58,15 +75,14 @@
 		f.gateways = append(f.gateways, gateway)
 		gateway.start(i)
 	}
-	return f
 }
 
 func simSettings(gateways int) policy.Settings {
 	settings := testSettings()
 	settings.Gateways = gateways
 	settings.Classes = []policy.Class{{LatencyObjective: time.Second, Deadline: simClientTimeout,
-		Idempotency: policy.Idempotent, PriorityWeight: 1}}
-	settings.Plans[1] = policy.Plan{Rate: 1e5, Burst: 1e6, PriorityWeight: 1} // so large that quotas have no effect
+		Idempotency: policy.Idempotent}}
+	settings.Plans[1] = policy.Plan{Rate: 1e5, Burst: 1e6} // so large that quotas have no effect
 	settings.SlowStartCapacity, settings.SlowStartDuration = 0.27, 18*time.Second
 	settings.OverloadMultiple, settings.OverloadDuration = 2.5, 3*time.Second
 	settings.MaxAttempts = 4
@@ -79,19 +95,34 @@
 	at := f.rng.Float64() * f.cumulativeWeights[len(f.cumulativeWeights)-1]
 	i, _ := slices.BinarySearch(f.cumulativeWeights, at)
 	gateway := f.gateways[i]
+	event := policy.RequestReceived{Plan: 1, Tenant: uint64(i)<<8 | uint64((f.requests+1)%5),
+		Timeout: simClientTimeout, Units: 1, TenantGateways: 1}
+	f.send(gateway, event, func(answer simAnswer) {
+		switch {
+		case answer.outcome == simServed:
+			f.succeeded++
+		case answer.outcome != simGaveUp && retries > 0:
+			f.After(simOneWayLatency, func() { f.receive(retries - 1) })
+		}
+	})
+}
+
+// send passes a request of a client to a gateway under a new ID, and the answer to onAnswer. The
+// client gives up, without another answer, when the event's timeout has passed.
+func (f *simFleet) send(gateway *simGateway, event policy.RequestReceived, onAnswer func(simAnswer)) {
 	f.requests++
+	event.RequestID = fmt.Sprintf("%016x", f.requests)
 	incarnation := gateway.incarnation
-	request := &simRequest{id: fmt.Sprintf("%016x", f.requests), retries: retries, deadline: f.Now + simClientTimeout}
+	request := &simRequest{id: event.RequestID, class: event.Class, sentAt: f.Now, deadline: f.Now + event.Timeout, onAnswer: onAnswer}
 	gateway.requests[request.id] = request
-	f.After(simClientTimeout, func() {
+	f.After(event.Timeout, func() {
 		if gateway.incarnation == incarnation && !request.done {
-			request.done = true
+			gateway.answer(request.id, simAnswer{outcome: simGaveUp})
 			gateway.step(policy.ClientDisconnected{RequestID: request.id})
 		}
 		f.After(time.Second, func() { delete(gateway.requests, request.id) })
 	})
-	gateway.step(policy.RequestReceived{RequestID: request.id, Plan: 1, Tenant: uint64(i)<<8 | uint64(f.requests%5),
-		Timeout: simClientTimeout, Units: 1, TenantGateways: 1})
+	gateway.step(event)
 }
 
 // generateRequests sends requests at random intervals, on average rate a second, until a time.
@@ -129,7 +160,8 @@
 
 // addEndpoint adds an endpoint that started at a time; 0 makes it warm.
 func (f *simFleet) addEndpoint(id string, startedAt time.Duration) policy.Endpoint {
-	endpoint := &simEndpoint{fleet: f, Endpoint: policy.Endpoint{ID: id, Weight: 1, StartedAt: startedAt, Zone: len(f.endpoints) % 3}}
+	endpoint := &simEndpoint{fleet: f, coreFreeAt: make([]time.Duration, f.cores),
+		Endpoint: policy.Endpoint{ID: id, Weight: 1, StartedAt: startedAt, Zone: len(f.endpoints) % 3}}
 	f.endpointsByID[id] = endpoint
 	f.endpoints = append(f.endpoints, endpoint)
 	return endpoint.Endpoint
@@ -160,10 +192,29 @@
 // simRequest is one request of a client.
 type simRequest struct {
 	id       string
-	retries  int // number of retries left to the client
+	class    int
+	sentAt   time.Duration
 	deadline time.Duration
 	attempts []simAttempt
 	done     bool
+	onAnswer func(simAnswer)
+}
+
+// simOutcome is how a request ended for its client.
+type simOutcome int
+
+const (
+	simServed simOutcome = iota
+	simRejected
+	simFailed
+	simGaveUp // without an answer
+)
+
+// simAnswer is a request's final answer.
+type simAnswer struct {
+	outcome    simOutcome
+	retryAfter time.Duration // of a rejection; 0: none
+	latency    time.Duration // since the request was sent
 }
 
 type simAttempt struct {
@@ -191,14 +242,14 @@
 		switch action := action.(type) {
 		case policy.StartTimer:
 			g.stepAfter(action.After, policy.TimerFired{TimerID: action.TimerID})
-		case policy.AddToCounter: // no other gateway has requests of this tenant
-			g.stepAfter(ms, policy.CounterReplied{Key: action.Key, Total: max(action.Units, 0)})
+		case policy.AddToCounter:
+			g.stepAfter(ms, g.fleet.counter.add(action))
 		case policy.StartAttempt:
 			g.startAttempt(action)
 		case policy.Reject:
-			g.answer(action.RequestID, false)
+			g.answer(action.RequestID, simAnswer{outcome: simRejected, retryAfter: action.RetryAfter})
 		case policy.Fail:
-			g.answer(action.RequestID, false)
+			g.answer(action.RequestID, simAnswer{outcome: simFailed})
 		case policy.CancelAttempt:
 			if request := g.requests[action.RequestID]; request != nil {
 				g.endAttempt(request, action.Attempt, policy.Canceled, 0)
@@ -217,18 +268,15 @@
 	})
 }
 
-// answer ends a request. If it did not succeed, the client may retry at once.
-func (g *simGateway) answer(id string, succeeded bool) {
+// answer ends a request, unless it has ended.
+func (g *simGateway) answer(id string, answer simAnswer) {
 	request := g.requests[id]
 	if request == nil || request.done {
 		return
 	}
 	request.done = true
-	if succeeded {
-		g.fleet.succeeded++
-	} else if request.retries > 0 {
-		g.fleet.After(simOneWayLatency, func() { g.fleet.receive(request.retries - 1) })
-	}
+	answer.latency = g.fleet.Now - request.sentAt
+	request.onAnswer(answer)
 }
 
 func (g *simGateway) endAttempt(request *simRequest, number int, outcome policy.Outcome, utilization float64) {
@@ -238,7 +286,7 @@
 	}
 	attempt.ended = true
 	if outcome == policy.Succeeded {
-		g.answer(request.id, true)
+		g.answer(request.id, simAnswer{outcome: simServed})
 	}
 	g.step(policy.AttemptEnded{RequestID: request.id, Attempt: number, Endpoint: attempt.endpoint, Outcome: outcome,
 		Latency: g.fleet.Now - attempt.startedAt, RequestDone: request.done,
@@ -261,16 +309,16 @@
 		}
 	}
 	f.After(until-f.Now, func() { end(policy.TimedOut) })
-	f.After(simOneWayLatency, func() { endpoint.receive(until, end) })
+	f.After(simOneWayLatency, func() { endpoint.receive(request.class, until, end) })
 }
 
-// simEndpoint is an endpoint that serves its requests one after the other, at a speed given by
-// its slow-start factor. It skips requests that have timed out before their turn.
+// simEndpoint is an endpoint that serves its requests in the order of their arrival, at a speed
+// given by its slow-start factor. It skips requests that have timed out before their turn.
 type simEndpoint struct {
 	policy.Endpoint
 	fleet         *simFleet
 	crashed       bool
-	busyUntil     time.Duration
+	coreFreeAt    []time.Duration // by core, when it has done the requests received so far
 	waiting       int
 	utilization   float64 // moving average of the share of time that it is busy
 	utilizationAt time.Duration
@@ -286,27 +334,33 @@
 	return settings.SlowStartCapacity + (1-settings.SlowStartCapacity)*max((at-e.StartedAt).Seconds(), 0)/settings.SlowStartDuration.Seconds()
 }
 
-// receive queues an attempt that times out at until. It calls end with the attempt's outcome,
-// unless the attempt times out before its turn or the endpoint has crashed.
-func (e *simEndpoint) receive(until time.Duration, end func(policy.Outcome)) {
+// receive queues an attempt of a class that times out at until. It calls end with the attempt's
+// outcome, unless the attempt times out before its turn or the endpoint has crashed.
+func (e *simEndpoint) receive(class int, until time.Duration, end func(policy.Outcome)) {
 	f := e.fleet
 	if e.crashed {
 		return
 	}
 	e.received = append(e.received, f.Now)
-	if e.waiting >= simMaxQueue {
+	if e.waiting >= f.maxQueue {
 		f.After(simOneWayLatency, func() { end(policy.Overloaded) })
 		return
 	}
 	e.waiting++
-	begin := max(e.busyUntil, f.Now)
+	core := &e.coreFreeAt[0]
+	for i := range e.coreFreeAt {
+		if e.coreFreeAt[i] < *core {
+			core = &e.coreFreeAt[i]
+		}
+	}
+	begin := max(*core, f.Now)
 	if begin >= until { // it will have timed out
 		f.After(begin-f.Now, func() { e.waiting-- })
 		return
 	}
-	work := time.Duration(f.rng.ExpFloat64() / (simCapacity * e.slowStartFactor(begin)) * float64(time.Second))
-	e.busyUntil = begin + work
-	f.After(e.busyUntil-f.Now, func() { e.serve(work, end) })
+	work := time.Duration(f.rng.ExpFloat64() * float64(f.meanWork[class]) / e.slowStartFactor(begin))
+	*core = begin + work
+	f.After(*core-f.Now, func() { e.serve(work, end) })
 }
 
 // serve finishes an attempt after its service time.
@@ -314,7 +368,7 @@
 	f := e.fleet
 	e.waiting--
 	decay := math.Exp(-(f.Now - e.utilizationAt).Seconds())
-	e.utilization = min(e.utilization*decay+work.Seconds(), 1)
+	e.utilization = min(e.utilization*decay+work.Seconds()/float64(f.cores), 1)
 	e.utilizationAt = f.Now
 	if !e.crashed {
 		f.After(simOneWayLatency, func() { end(policy.Succeeded) })
@@ -323,7 +377,8 @@
 
 // restart replaces the endpoint's process by a new one with the same ID.
 func (e *simEndpoint) restart() policy.Endpoint {
-	e.crashed, e.StartedAt, e.busyUntil, e.received, e.State = false, e.fleet.Now, e.fleet.Now, nil, policy.Serving
+	e.crashed, e.StartedAt, e.received, e.State = false, e.fleet.Now, nil, policy.Serving
+	clear(e.coreFreeAt) // nothing is left of the old process's work
 	return e.Endpoint
 }
 
