policy: prices and worth change no decision

Callers saw: which requests were refused depended on what the operator earned or paid. A plan or class that was worth more was checked at the counter more often; beyond the quota a request was forwarded if its worth outweighed the cost; endpoints in other zones were avoided by the price of crossing zones.

Cause: PriorityWeight of classes and plans, OverQuotaCost and OverQuotaWeight in overquota.go and sharedbucket.go, CrossZoneCost in balancer.go.

Change: the policy's settings hold none of these any more, and the configuration ignores the keys, which keep their places in the file. An uncoordinated decision takes the likelier side, within or over the quota; the calls that the counter can serve go where most units are at risk of a wrong decision. The way to another zone counts as part of the measured latency. Settings.Zone had no other reader and is gone. The expected error is now at least 0.03 on both sides: before, a plan all of whose requests were over quota could bring the mean risk to 0, and with it the probability of a call to 0/0.

Tried and not kept: an initial mean risk of the first request, or of 0.5.

--- a/cmd/simadapter/neutrality_test.go
+++ b/cmd/simadapter/neutrality_test.go
@@ -172,13 +172,19 @@
 	p.pending = append(p.pending, dueMessage{at: p.now + span, text: text + "\n"})
 }
 
-// Guards against decisions that follow from the mark of a client's retry, and not from the time
-// and the quota that callers have.
-func TestDecisionsIgnoreMarks(t *testing.T) {
+// Guards against decisions that follow from what an operator pays or earns, or from the mark of a
+// client's retry, and not from the time and the quota that callers have.
+func TestDecisionsIgnorePricesAndMarks(t *testing.T) {
 	usual := usualVariant.run(t)
 	for name, change := range map[string]func(*variant){
 		"three in ten requests marked as retries": func(v *variant) { v.markedShare = 0.3 },
 		"all requests marked as retries":          func(v *variant) { v.markedShare = 1 },
+		"one class worth more":                    func(v *variant) { v.value = 5 },
+		"one plan worth more":                     func(v *variant) { v.worthFactor = 3 },
+		"no cost beyond the quota":                func(v *variant) { v.excessCost = 0 },
+		"four times the cost beyond the quota":    func(v *variant) { v.excessCost *= 4 },
+		"most of the worth beyond the quota":      func(v *variant) { v.overWorth = 0.9 },
+		"dear attempts in other zones":            func(v *variant) { v.crossZone = 1 },
 	} {
 		changed := usualVariant
 		change(&changed)
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -18,7 +18,6 @@
 		Seed:                      seed,
 		GatewayIndex:              s.GatewayIndex,
 		Gateways:                  s.Gateways,
-		Zone:                      s.Zone,
 		MustSubscribe:             s.DiscoveryMode == DiscoveryPolled,
 		SubscriptionTimeout:       s.EndpointRules.SubscriptionTimeout,
 		CounterEnabled:            s.Accounting.CounterEnabled,
@@ -36,7 +35,6 @@
 		AllowRetryAfter:           s.Limits.AllowRetryAfter,
 		MaxAttempts:               s.Limits.MaxAttempts,
 		MaxRetryAfter:             s.Limits.MaxRetryAfter,
-		CrossZoneCost:             s.Costs.CrossZone,
 		LoadReportsInHealthChecks: s.LoadReports.Channel == loadReportsByPull,
 	}
 	for _, class := range s.Classes {
@@ -56,7 +54,6 @@
 		DedupScope:       policy.DedupScope(c.DedupScope),
 		DedupWindow:      c.DedupWindow,
 		LateWeight:       c.LateWeight,
-		PriorityWeight:   c.PriorityWeight,
 		Streaming:        c.Streaming,
 	}
 }
@@ -69,8 +66,5 @@
 		HardLimitRate:      p.HardLimitRate,
 		HardLimitBurst:     p.HardLimitBurst,
 		HardLimitTolerance: p.HardLimitTolerance,
-		PriorityWeight:     p.PriorityWeight,
-		OverQuotaWeight:    p.OverQuotaWeight,
-		OverQuotaCost:      p.OverQuotaCost,
 	}
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -17,12 +17,11 @@
 // larger body are not forwarded.
 const MaxBodyBytes = 64 << 10
 
-// Settings is the settings object. Unknown keys are ignored. In JSON, durations are integers in
-// nanoseconds.
+// Settings is the settings object. Other keys are ignored, among them the prices and the worth of
+// requests, on which no decision depends. In JSON, durations are integers in nanoseconds.
 type Settings struct {
 	Gateways      int           `json:"nInstances"`
 	GatewayIndex  int           `json:"rank"`
-	Zone          int           `json:"locality"`
 	Zones         []string      `json:"localities"`
 	DiscoveryMode string        `json:"membershipMode"`
 	Classes       []Class       `json:"classes"`
@@ -30,7 +29,6 @@
 	EndpointRules EndpointRules `json:"contract"`
 	Accounting    Accounting    `json:"familyInfo"`
 	Limits        Limits        `json:"limits"`
-	Costs         Costs         `json:"prices"`
 	LoadReports   LoadReports   `json:"report"`
 }
 
@@ -43,7 +41,6 @@
 	DedupScope       DedupScope    `json:"group"`
 	LateWeight       float64       `json:"lateWorth"`
 	Streaming        bool          `json:"stream"`
-	PriorityWeight   float64       `json:"value"`
 	DedupWindow      time.Duration `json:"window"`
 }
 
@@ -55,9 +52,6 @@
 	HardLimitRate      float64 `json:"neverOverRate"`
 	HardLimitTolerance float64 `json:"tolerance"`
 	MaxConcurrent      int     `json:"concurrency"`
-	OverQuotaCost      float64 `json:"excessCost"`
-	OverQuotaWeight    float64 `json:"overWorth"`
-	PriorityWeight     float64 `json:"worthFactor"`
 	Rate               float64 `json:"refill"`
 }
 
@@ -93,11 +87,6 @@
 	AllowHedging        bool          `json:"secondCopies"`
 }
 
-// Costs holds the costs of attempts.
-type Costs struct {
-	CrossZone float64 `json:"crossZone"`
-}
-
 // LoadReports tells how endpoints deliver load reports: "piggyback", "pull" or "silent".
 type LoadReports struct {
 	Channel string `json:"via"`
--- a/internal/edge/disconnect_test.go
+++ b/internal/edge/disconnect_test.go
@@ -76,7 +76,7 @@
 	counter := testsupport.StartFakeServer(t, func(c net.Conn, req *http.Request, _ []byte) bool {
 		calls <- req.URL.Query().Get("delta")
 		<-answer
-		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2")
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n4")
 		return true
 	})
 	cfg := testConfig(t)
@@ -84,12 +84,12 @@
 	cfg.Settings.Accounting.CounterTimeout = testsupport.MaxWait // below half of the request's timeout, or it would not wait
 	cfg.Settings.Classes[0].Deadline = 3 * testsupport.MaxWait
 	plan := &cfg.Settings.Plans[0]
-	plan.Rate, plan.Burst, plan.OverQuotaCost = 2, 4, 1 // little enough that the shared bucket admits requests
+	plan.Rate, plan.Burst = 2, 4 // little enough that the shared bucket admits requests
 	h := startNode(t, cfg, endpoint.Addr)
 	c := h.dial()
-	io.WriteString(c, clientRequest("lookup", "00000000000000aa", "3000", "60000"))
-	if delta := <-calls; delta != "2" {
-		t.Fatalf("the counter call adds %s units, want 2", delta)
+	io.WriteString(c, clientRequest("lookup", "00000000000000aa", "3000", "60000", "units=2", "units=4")) // of the whole burst, so that it always calls
+	if delta := <-calls; delta != "4" {
+		t.Fatalf("the counter call adds %s units, want 4", delta)
 	}
 	awaitRequest(h)
 	c.Close()
@@ -98,7 +98,7 @@
 	testsupport.Eventually(t, "the return of the units", func() bool { // by then the policy has handled the response
 		select {
 		case delta := <-calls:
-			return delta == "-2"
+			return delta == "-4"
 		default:
 			return false
 		}
--- a/internal/policy/attempt_test.go
+++ b/internal/policy/attempt_test.go
@@ -112,7 +112,6 @@
 	const noReply policy.Outcome = -1
 	for _, outcome := range []policy.Outcome{policy.Succeeded, policy.Overloaded, policy.TimedOut, noReply} {
 		settings := testSettings()
-		settings.Plans[0].OverQuotaCost = 1
 		h := newHarness(t, settings, 8)
 		id := h.receiveUntilHeld()
 		expectNoAttempt(t, h.step(policy.ClientDisconnected{RequestID: id}))
--- a/internal/policy/balancer.go
+++ b/internal/policy/balancer.go
@@ -6,12 +6,11 @@
 )
 
 const (
-	subsetSize       = 16   // endpoints that a gateway chooses from; few, so that it uses each of them often
-	errorPenalty     = 8.0  // weight of an excess error rate in the score; an error costs more than a wait, as it may be final
-	panicThreshold   = 0.5  // below this share of healthy endpoints, ejections are ignored
-	latencyJitter    = 0.15 // largest random relative increase of an expected latency, so that gateways do not all choose the same endpoint
-	maxWarmUpShare   = 0.6  // an endpoint that is warming up gets at most this share of OverloadMultiple times the mean load
-	crossZonePenalty = 2.0  // weight of CrossZoneCost in the score
+	subsetSize     = 16   // endpoints that a gateway chooses from; few, so that it uses each of them often
+	errorPenalty   = 8.0  // weight of an excess error rate in the score; an error is worse for a client than a wait, as it may be final
+	panicThreshold = 0.5  // below this share of healthy endpoints, ejections are ignored
+	latencyJitter  = 0.15 // largest random relative increase of an expected latency, so that gateways do not all choose the same endpoint
+	maxWarmUpShare = 0.6  // an endpoint that is warming up gets at most this share of OverloadMultiple times the mean load
 )
 
 // balancer picks the endpoint for each attempt.
@@ -137,14 +136,10 @@
 }
 
 // score returns a candidate's score, lower is better: its expected latency with some jitter,
-// increased for an error rate above the overall one and for another zone.
+// increased for an error rate above the overall one. The way to another zone is part of the latency.
 func (b *balancer) score(ep *endpoint, latency float64) float64 {
 	score := latency / math.Sqrt(ep.slowness.ratio) * (1 + latencyJitter*b.rng.Float64())
-	score *= 1 + errorPenalty*max(ep.errorRate-b.outliers.overallErrorRate, 0)
-	if ep.Zone != b.settings.Zone {
-		score *= 1 + crossZonePenalty*b.settings.CrossZoneCost
-	}
-	return score
+	return score * (1 + errorPenalty*max(ep.errorRate-b.outliers.overallErrorRate, 0))
 }
 
 // preferWarmingUp reports whether the attempt goes to s.warmingUp rather than to s.best. A
--- a/internal/policy/countercalls.go
+++ b/internal/policy/countercalls.go
@@ -11,7 +11,7 @@
 	callRateRecovery    = 1.25 // factor on a call rate well below the proven rate for each call answered in time
 	callRateGrowth      = 1.01 // factor on a higher call rate for each call answered in time
 	minCallRate         = 0.03 // least call rate; its calls find out when the counter has recovered
-	maxCallRate         = 2.0  // greatest call rate; above 1, decisions with less value at risk also call
+	maxCallRate         = 2.0  // greatest call rate; above 1, decisions with fewer units at risk also call
 	lateReplyShare      = 0.4  // fraction of CounterTimeout after which a reply counts as late
 	halfReportsBelow    = 0.5  // call rate below which only one interval in two is reported
 	quarterReportsBelow = 0.25 // call rate below which only one interval in four is reported
--- a/internal/policy/example_test.go
+++ b/internal/policy/example_test.go
@@ -12,8 +12,8 @@
 	now := 10 * time.Second // since an epoch that all gateways share
 	gateway, err := policy.New(now, policy.Settings{
 		Gateways: 2, MaxAttempts: 2,
-		Classes: []policy.Class{{LatencyObjective: 500 * time.Millisecond, Deadline: 2 * time.Second, PriorityWeight: 1}},
-		Plans:   []policy.Plan{{Rate: 5, Burst: 10, PriorityWeight: 1}},
+		Classes: []policy.Class{{LatencyObjective: 500 * time.Millisecond, Deadline: 2 * time.Second}},
+		Plans:   []policy.Plan{{Rate: 5, Burst: 10}},
 	})
 	if err != nil {
 		fmt.Println(err)
--- a/internal/policy/fleet_test.go
+++ b/internal/policy/fleet_test.go
@@ -177,7 +177,6 @@
 	// Plan 0 has 4 units per second and a burst of 8. A tenant within that rate sends each of the 60 gateways a request
 	// about every 20 s. Half of the tenants send 11 units in one second of four, the others four times their quota.
 	settings := testSettings()
-	settings.Plans[0].OverQuotaCost = 1
 	const seconds = 60
 	traffic := &tenantTraffic{
 		gateways: newFleet(t, 60, settings, newEndpointList(0, 0)),
@@ -215,7 +214,6 @@
 	// The counter can serve a third of the calls that the fleet would make. A reply that comes after requests are no
 	// longer held is useless, so the gateways together must make fewer calls than the counter serves.
 	settings := testSettings()
-	settings.Plans[0].OverQuotaCost = 1
 	counter := &queueingCounter{fakeCounter: fakeCounter{}, serviceTime: 10 * ms}
 	gateways := newFleet(t, 60, settings, newEndpointList(0, 0))
 	traffic := &tenantTraffic{
@@ -304,7 +302,6 @@
 	for _, serviceTime := range []time.Duration{4 * ms, 20 * ms} { // a counter with capacity to spare, and a slow one
 		t.Run(fmt.Sprint("counter service time ", serviceTime), func(t *testing.T) {
 			settings := testSettings()
-			settings.Plans[0].OverQuotaCost = 1
 			harnesses := newFleet(t, gateways, settings, newEndpointList(0, 0))
 			quotas := newQuotaOracle(tenants, harnesses[0].now)
 			traffic := &tenantTraffic{
--- a/internal/policy/overquota.go
+++ b/internal/policy/overquota.go
@@ -1,10 +1,11 @@
 package policy
 
 const (
-	estimateSmoothingFactor = 0.05        // weight of one request checked at the counter in an estimate
-	initialOverQuotaShare   = 0.3         // initial estimate of the share of requests over quota
-	minOverQuotaLoss        = minCallRate // least expected loss from forwarding a request, as a fraction of its value
-	minRelativeRisk         = 0.2         // least value at risk, relative to the mean, that is used for the probability of a call
+	estimateSmoothingFactor = 0.05 // weight of one request checked at the counter in an estimate
+	initialOverQuotaShare   = 0.3  // initial estimate of the share of requests over quota
+	minErrorProbability     = 0.03 // least probability that an uncoordinated decision is wrong; the estimates prove no less
+	initialUnitsAtRisk      = 1.0  // initial mean of the units at risk; high, so that gateways that start together do not flood the counter
+	minRelativeRisk         = 0.2  // least units at risk, relative to the mean, that are used for the probability of a call
 )
 
 // quotaEvidence is the kind of knowledge that this gateway has of a tenant's quota when a
@@ -40,42 +41,39 @@
 	}
 }
 
-// overQuotaModel estimates from requests checked at the counter what uncoordinated decisions
-// risk, so that the calls that the counter can serve are spent where most value is at risk.
+// overQuotaModel estimates from requests checked at the counter how often uncoordinated decisions
+// are wrong, so that the calls that the counter can serve are spent where most units are at risk of
+// a wrong decision. It is as wrong to reject a request within the quota as to forward one over it.
 type overQuotaModel struct {
 	byPlan          []overQuotaEstimates // by index of the plan
-	meanValueAtRisk float64              // mean value at risk of a decision, smoothed
+	meanUnitsAtRisk float64              // mean units at risk of a decision, smoothed
 }
 
 func newOverQuotaModel(plans int) overQuotaModel {
-	model := overQuotaModel{byPlan: make([]overQuotaEstimates, plans), meanValueAtRisk: 1}
+	model := overQuotaModel{byPlan: make([]overQuotaEstimates, plans), meanUnitsAtRisk: initialUnitsAtRisk}
 	for i := range model.byPlan {
 		model.byPlan[i] = newOverQuotaEstimates()
 	}
 	return model
 }
 
-// callProbability returns the probability that a decision calls the counter, from its value
+// callProbability returns the probability that a decision calls the counter, from its units
 // at risk and the share of decisions that may call.
-func (m *overQuotaModel) callProbability(valueAtRisk, callRate float64) float64 {
-	probability := min(1, callRate*max(valueAtRisk/m.meanValueAtRisk, minRelativeRisk))
-	m.meanValueAtRisk += estimateSmoothingFactor * (valueAtRisk - m.meanValueAtRisk)
+func (m *overQuotaModel) callProbability(unitsAtRisk, callRate float64) float64 {
+	probability := min(1, callRate*max(unitsAtRisk/m.meanUnitsAtRisk, minRelativeRisk))
+	m.meanUnitsAtRisk += estimateSmoothingFactor * (unitsAtRisk - m.meanUnitsAtRisk)
 	return probability
 }
 
-// overQuotaRisk is the risk of forwarding one request without knowing the shared bucket.
-type overQuotaRisk struct {
-	probability float64 // probability that the request is over quota
-	cost        float64 // cost of forwarding it if so, less what it then earns, as a fraction of its value
-}
+// overQuotaProbability is the probability that a request is over quota, as far as is known without
+// the shared bucket.
+type overQuotaProbability float64
 
-// favorsAdmission reports whether the expected value of forwarding the request exceeds the
-// expected cost.
-func (o overQuotaRisk) favorsAdmission() bool { return 1-o.probability > o.probability*o.cost }
+// favorsAdmission reports whether the request is more likely within the quota than over it.
+func (p overQuotaProbability) favorsAdmission() bool { return p < 0.5 }
 
-// valueAtRisk returns the expected loss of an uncoordinated decision: the lesser of those
-// from rejecting a request within the quota and from forwarding one over it.
-func (o overQuotaRisk) valueAtRisk(r *request) float64 {
-	return min(1-o.probability, max(o.probability*o.cost, minOverQuotaLoss)) *
-		r.units * r.class.PriorityWeight * r.tenant.plan.PriorityWeight
+// unitsAtRisk returns the expected units of a wrong decision, if the likelier side is chosen for a
+// request of a number of units.
+func (p overQuotaProbability) unitsAtRisk(units float64) float64 {
+	return units * max(min(float64(p), 1-float64(p)), minErrorProbability)
 }
--- a/internal/policy/quota_test.go
+++ b/internal/policy/quota_test.go
@@ -226,7 +226,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			settings := testSettings()
-			settings.Plans[0] = policy.Plan{Rate: 10, Burst: 20, PriorityWeight: 1}
+			settings.Plans[0] = policy.Plan{Rate: 10, Burst: 20}
 			h, counter := newHarness(t, settings, 6), fakeCounter{}
 			for range 40 { // well under the quota, also by the totals
 				h.countAdmitted(1, 0, 9)
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -25,13 +25,12 @@
 
 // Class describes one class of requests.
 type Class struct {
-	LatencyObjective time.Duration // an answer within this time earns the full priority weight
+	LatencyObjective time.Duration // an answer within this time earns its full worth
 	Deadline         time.Duration // how long a client waits in total, over all its retries
 	Idempotency      Idempotency
 	DedupScope       DedupScope    // for IdempotentByKey only
 	DedupWindow      time.Duration // for IdempotentByKey only: how long duplicates are dropped
-	LateWeight       float64       // share of PriorityWeight that an answer earns between objective and deadline
-	PriorityWeight   float64       // value of an answer relative to other classes
+	LateWeight       float64       // share of its worth that an answer earns between objective and deadline
 	Streaming        bool          // the response is streamed to the client
 }
 
@@ -44,18 +43,14 @@
 	HardLimitRate      float64 // units per second that refill the hard limit; 0: no hard limit
 	HardLimitBurst     float64 // units that the hard limit's bucket holds
 	HardLimitTolerance float64 // units by which the hard limit's bucket may go below zero
-	PriorityWeight     float64 // factor on the class's priority weight
-	OverQuotaWeight    float64 // share of the priority weight that a request beyond the quota earns
-	OverQuotaCost      float64 // share of the priority weight that forwarding a request beyond the quota costs
 }
 
 // Settings describes the deployment to a gateway when it starts. All fields are facts about
-// the deployment; none is a tuning parameter.
+// the deployment; none is a tuning parameter, and none tells what an operator pays or earns.
 type Settings struct {
 	Seed                uint64 // for all random numbers of this incarnation (one run of the gateway's process)
 	GatewayIndex        int    // number of this gateway, from 0
 	Gateways            int    // number of gateways in the fleet
-	Zone                int    // zone of this gateway
 	MaxTenants          int    // tenants whose state may be kept at a time; 0: no limit
 	Classes             []Class
 	Plans               []Plan
@@ -78,6 +73,5 @@
 	AllowRetryAfter           bool          // clients honor Retry-After
 	MaxAttempts               int           // most attempts of one request
 	MaxRetryAfter             time.Duration // longest Retry-After that clients honor
-	CrossZoneCost             float64       // relative cost of an attempt in another zone
 	LoadReportsInHealthChecks bool          // load reports come only with health checks
 }
--- a/internal/policy/sharedbucket.go
+++ b/internal/policy/sharedbucket.go
@@ -22,7 +22,7 @@
 // unused tokens remain from interval to interval. The units are subtracted again unless the
 // request was forwarded and the bucket held them.
 //
-// Calls are made at random, with a probability that grows with the value at risk and with
+// Calls are made at random, with a probability that grows with the units at risk and with
 // the share of decisions for which the counter can serve a call. The other decisions, and
 // those that cannot wait for the reply, are uncoordinated: they depend on this gateway's
 // share of the quota and on how often the plan's requests that were checked at the counter
@@ -37,12 +37,12 @@
 	}
 	kind := t.evidenceFor(r)
 	t.sharedBucketUsed = true
-	risk := overQuotaRisk{probability: estimates[kind], cost: t.plan.OverQuotaCost - t.plan.OverQuotaWeight}
-	probability := g.overQuota.callProbability(risk.valueAtRisk(r), g.counterBudget.callRate)
-	callsCounter := g.rng.Float64() < probability
+	overQuota := overQuotaProbability(estimates[kind])
+	callProbability := g.overQuota.callProbability(overQuota.unitsAtRisk(r.units), g.counterBudget.callRate)
+	callsCounter := g.rng.Float64() < callProbability
 	waitsForReply := callsCounter && !g.stalls.recentlyStalled(g.now) && r.deadline-g.now > 2*g.settings.CounterTimeout
 	if !waitsForReply {
-		g.decideUncoordinated(r, risk)
+		g.decideUncoordinated(r, overQuota)
 	}
 	if !callsCounter {
 		return
@@ -52,9 +52,9 @@
 		held:      heldRequest{request: r, waiting: waitsForReply},
 		evidence:  kind,
 		estimates: estimates,
-		risk:      risk,
+		overQuota: overQuota,
 		epoch:     t.bucketEpoch(g.now),
-		units:     r.units / probability,
+		units:     r.units / callProbability,
 	}
 	call.start()
 }
@@ -74,12 +74,10 @@
 	return noQuotaEvidence
 }
 
-// decideUncoordinated decides a request without the counter's total: by its risk, the limits
-// and, if forwarding it over the quota has a net cost, the local tokens.
-func (g *Gateway) decideUncoordinated(r *request, risk overQuotaRisk) {
-	t := r.tenant
-	hasTokens := risk.cost <= 0 || t.tokens >= r.units-unitTolerance
-	g.decide(r, risk.favorsAdmission() && hasTokens && t.withinLimits(r.units))
+// decideUncoordinated decides a request without the counter's total: by the probability that it is
+// over quota, the local tokens and the limits.
+func (g *Gateway) decideUncoordinated(r *request, overQuota overQuotaProbability) {
+	g.decide(r, overQuota.favorsAdmission() && r.tenant.admits(r.units))
 }
 
 // decideBySharedBucket forwards a request that the shared bucket granted and the limit on
@@ -96,7 +94,7 @@
 	held      heldRequest
 	evidence  quotaEvidence
 	estimates *overQuotaEstimates
-	risk      overQuotaRisk
+	overQuota overQuotaProbability
 	epoch     int64
 	units     float64 // units to take: the request's, scaled up for the requests that made no call
 }
@@ -114,7 +112,7 @@
 // onTimeout decides the request without the counter, which did not reply in time.
 func (c *sharedBucketCall) onTimeout() {
 	if c.held.release() {
-		c.gateway.decideUncoordinated(c.held.request, c.risk)
+		c.gateway.decideUncoordinated(c.held.request, c.overQuota)
 	}
 }
 
@@ -128,7 +126,7 @@
 	undecided := c.held.release()
 	if reply.Outcome != Succeeded {
 		if undecided {
-			g.decideUncoordinated(r, c.risk)
+			g.decideUncoordinated(r, c.overQuota)
 		}
 		return
 	}
--- a/internal/policy/sharedbucket_test.go
+++ b/internal/policy/sharedbucket_test.go
@@ -24,7 +24,7 @@
 	// The total at the counter decides, not an allocation, if a gateway's share of the quota is less than a request.
 	decide := func(total float64, timeout time.Duration) (calls, admitted int) {
 		settings := testSettings()
-		settings.Plans[0].OverQuotaCost, settings.CounterTimeout = 1, 400*ms
+		settings.CounterTimeout = 400 * ms
 		h := newHarness(t, settings, 6)
 		for i := range 40 {
 			_, actions := h.receiveEvent(sharedBucketRequest(uint64(i), timeout))
@@ -96,7 +96,7 @@
 func admittedByFleet(t *testing.T, gateways int, demandMultiple float64, rejectedShare float64) (units float64) {
 	t.Helper()
 	settings := testSettings()
-	settings.Gateways, settings.Plans[0].OverQuotaCost = gateways, 1
+	settings.Gateways = gateways
 	rng := rand.New(rand.NewPCG(3, uint64(gateways)))
 	var harnesses []*harness
 	for i := range gateways {
@@ -155,7 +155,7 @@
 func TestSharedBucketIsChargedActualUnits(t *testing.T) {
 	for actualUnits, want := range map[float64]float64{1: 1, 3: 3} {
 		settings := testSettings()
-		settings.ActualUnitsReported, settings.Plans[0].OverQuotaCost = true, 1
+		settings.ActualUnitsReported = true
 		// largestTotal returns the largest total at the counter after one request, which is that of the tenant's bucket.
 		largestTotal := func(end func(h *harness, counter fakeCounter, attempts []policy.StartAttempt)) float64 {
 			h, counter := newHarness(t, settings, 6), fakeCounter{}
