policy: Retry-After follows from tokens and queues

Callers saw: every request that was not admitted told them to come back after 0.15 of the latency objective, 150 ms for an objective of a second, whatever the bucket's refill or the queue; after a failed attempt it was always the longest wait that clients honor. Whoever came back on time was often refused again.

Cause: retryAfterShare; its comment gives the reason, "a retry after a longer wait earns nothing".

Change (retryafter.go): the wait is the time until the tenant's bucket, here or at the counter by its last reading, or its share of the hard limit holds the request's units; at the limit on concurrent attempts, until one of them ends in the mean; with no endpoint, until the next recovery trial; if endpoints have too much work, until the work ahead is done. It is rounded up to the millisecond that the header can tell. At most the longest wait that clients honor, as the settings tell. A 503 for lack of memory told 1 s even where clients honor less or no wait.

Tests: TestRetryAfterTellsWhenTokensAreThere lets the client come back on time, when it must be admitted, and 20 ms early, when it must not.

Not done: rejected clients of one tenant do not queue, so several may be told the same moment.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -36,7 +36,7 @@
 	if reserved := bodyReservation(req.ContentLength); reserved > 0 {
 		if !n.memoryBudget.Reserve(reserved) {
 			n.requestEvents.record(eventOutOfMemory, "")
-			respondOutOfMemory(w)
+			n.respondOutOfMemory(w)
 			return
 		}
 		defer n.memoryBudget.Release(reserved)
@@ -134,17 +134,25 @@
 	if conn != nil && conn.BeginAnswer() {
 		header.Set("Connection", "close")
 	}
-	if a.retryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
-	}
+	setRetryAfter(header, a.retryAfter)
 	w.WriteHeader(a.status)
 	w.Write(a.body) // an error here means that the client has disconnected, or takes too little
 }
 
-// respondOutOfMemory rejects a request whose body does not fit the memory budget.
-func respondOutOfMemory(w http.ResponseWriter) {
+// setRetryAfter sets the header that tells a client how long to wait before a retry; 0: none.
+func setRetryAfter(header http.Header, delay time.Duration) {
+	if delay > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
+	}
+}
+
+// respondOutOfMemory rejects a request whose body does not fit the memory budget. Nothing tells when
+// memory will be free, so the client is told to wait as long as clients honor, if they honor a wait.
+func (n *Node) respondOutOfMemory(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close") // the body is not read
-	w.Header().Set("Retry-After", "1")
+	if limits := n.cfg.Settings.Limits; limits.AllowRetryAfter {
+		setRetryAfter(w.Header(), limits.MaxRetryAfter)
+	}
 	http.Error(w, "too many bodies in hand", http.StatusServiceUnavailable)
 }
 
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -2,8 +2,6 @@
 
 import "time"
 
-const retryAfterShare = 0.15 // Retry-After of a rejection on admission, as a fraction of the latency objective; a retry after a longer wait earns nothing
-
 // requestReceived admits a request and starts its first attempt, holds it for a counter
 // call, or rejects it at once.
 func (g *Gateway) requestReceived(ev RequestReceived) {
@@ -34,18 +32,10 @@
 	g.decide(r, false)
 }
 
-// rejectNewTenant rejects a request of a tenant for whose state there is no room.
+// rejectNewTenant rejects a request of a tenant for whose state there is no room. The state of an
+// idle tenant is dropped after an interval.
 func (g *Gateway) rejectNewTenant(ev RequestReceived) {
-	retryAfter := time.Duration(0)
-	if g.settings.AllowRetryAfter {
-		retryAfter = min(g.admissionRetryAfter(&g.settings.Classes[ev.Class]), g.settings.MaxRetryAfter)
-	}
-	g.emit(Reject{RequestID: ev.RequestID, RetryAfter: retryAfter})
-}
-
-// admissionRetryAfter returns after how long a client may retry a request that was not admitted.
-func (g *Gateway) admissionRetryAfter(class *Class) time.Duration {
-	return time.Duration(retryAfterShare * float64(class.LatencyObjective))
+	g.rejectWithDelay(ev.RequestID, g.settings.Plans[ev.Plan].allocationInterval())
 }
 
 // validIndices reports whether the settings contain the request's class and plan.
@@ -95,12 +85,17 @@
 // forwardOrReject starts an admitted request's first attempt if an endpoint has capacity
 // for it, and otherwise rejects the request. It reports whether the request was forwarded.
 func (g *Gateway) forwardOrReject(r *request, admitted bool) bool {
-	ep, expectedLatency := (*endpoint)(nil), 0.0
-	if admitted {
-		ep, expectedLatency = g.balancer.pick(g.now, r)
+	if !admitted {
+		g.rejectOrFail(r, g.admissionDelay(r.tenant, r.units))
+		return false
+	}
+	ep, expectedLatency := g.balancer.pick(g.now, r)
+	if ep == nil {
+		g.rejectOrFail(r, g.endpointDelay())
+		return false
 	}
-	if ep == nil || g.throttle.shouldShed(g.now, r, ep, expectedLatency) {
-		g.rejectOrFail(r, g.admissionRetryAfter(r.class))
+	if g.throttle.shouldShed(g.now, r, ep, expectedLatency) {
+		g.rejectOrFail(r, g.queueDelay(expectedLatency))
 		return false
 	}
 	if r.tenant.plan.Rate > 0 {
--- a/internal/policy/answer.go
+++ b/internal/policy/answer.go
@@ -6,16 +6,13 @@
 const keepNone = -1
 
 // rejectOrFail ends a request that was not served. It rejects the request if a retry by the
-// client is safe, and fails it otherwise. A rejection carries retryAfter, up to the longest
-// one that clients honor, if they honor any.
-func (g *Gateway) rejectOrFail(r *request, retryAfter time.Duration) {
-	switch {
-	case !r.clientMayRetry():
+// client is safe, and fails it otherwise. The reason for it is expected to last for a delay, see
+// [Gateway.rejectWithDelay].
+func (g *Gateway) rejectOrFail(r *request, delay time.Duration) {
+	if r.clientMayRetry() {
+		g.rejectWithDelay(r.id, delay)
+	} else {
 		g.emit(Fail{RequestID: r.id})
-	case g.settings.AllowRetryAfter:
-		g.emit(Reject{RequestID: r.id, RetryAfter: min(retryAfter, g.settings.MaxRetryAfter)})
-	default:
-		g.emit(Reject{RequestID: r.id})
 	}
 	g.finish(r)
 }
--- a/internal/policy/attempt.go
+++ b/internal/policy/attempt.go
@@ -80,6 +80,6 @@
 	case r.done || r.inFlight() > 0:
 		g.removeIfDone(r)
 	case ev.Outcome == NotSent || !g.retry(r):
-		g.rejectOrFail(r, g.settings.MaxRetryAfter)
+		g.rejectOrFail(r, g.queueDelay(0))
 	}
 }
--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -19,7 +19,7 @@
 //     time.
 //   - Admission within a tenant's fleet-wide quota: admission.go, tenant.go, tenanttable.go, quota.go,
 //     sparequota.go, sharedbucket.go, bucketreading.go, overquota.go, hardlimit.go,
-//     countercalls.go.
+//     countercalls.go, retryafter.go.
 //   - Load balancing over endpoints: endpoint.go, balancer.go, latency.go, outlier.go,
 //     slowstart.go, throttle.go.
 //   - The life of a request from its first attempt to its final answer: request.go,
