policy: a shed request is no recovery trial

Cause: pick marks the recovery trial of an ejected endpoint as in flight; the throttle was asked after that, and if it shed the request at random, the trial never started and never ended.

Change: the throttle is asked before an endpoint is chosen (forwardOrReject, retry). What is left of shouldShed after the choice depends on the expected latency alone, which is 0 for a trial.

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -89,12 +89,16 @@
 		g.rejectOrFail(r, g.admissionDelay(r.tenant, r.units))
 		return false
 	}
+	if g.throttle.shouldShed(g.now) {
+		g.rejectOrFail(r, g.queueDelay(0))
+		return false
+	}
 	ep, expectedLatency := g.balancer.pick(g.now, r)
 	if ep == nil {
 		g.rejectOrFail(r, g.endpointDelay())
 		return false
 	}
-	if g.throttle.shouldShed(g.now, r, ep, expectedLatency) {
+	if g.throttle.isTooLate(g.now, r, ep, expectedLatency) {
 		g.rejectOrFail(r, g.queueDelay(expectedLatency))
 		return false
 	}
--- a/internal/policy/outlier_test.go
+++ b/internal/policy/outlier_test.go
@@ -132,3 +132,35 @@
 			healthChecks, attemptsAfter)
 	}
 }
+
+// Guards against endpoints that stay ejected for good: a request that the throttle sheds must not
+// count as a recovery trial, which would never end.
+func TestShedRequestIsNoRecoveryTrial(t *testing.T) {
+	const hangsUntil, failsUntil, requests = 300, 400, 1500
+	for seed := range uint64(20) {
+		settings := testSettings()
+		settings.MaxAttempts, settings.Seed = 1, seed
+		h := newHarness(t, settings, 4)
+		recovered := 0
+		for i := range requests {
+			h.advance(20*ms, replyWithTotal(0))
+			id, actions := h.receive(0, 1, 1, 1)
+			for _, attempt := range startedAttempts(actions) {
+				switch {
+				case attempt.Endpoint == "s1" && i < hangsUntil:
+					h.step(policy.AttemptEnded{RequestID: id, Endpoint: "s1", Outcome: policy.TimedOut, Latency: time.Second})
+				case i >= hangsUntil && i < failsUntil: // so many failures that some requests are shed
+					h.step(policy.AttemptEnded{RequestID: id, Endpoint: attempt.Endpoint, Outcome: policy.TimedOut, Latency: time.Second})
+				default:
+					h.succeed(id, attempt)
+					if attempt.Endpoint == "s1" && i >= failsUntil {
+						recovered++
+					}
+				}
+			}
+		}
+		if recovered < 50 {
+			t.Errorf("seed %d: %d attempts at one of 4 endpoints that all serve again, of %d requests; want at least 50", seed, recovered, requests-failsUntil)
+		}
+	}
+}
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -24,11 +24,11 @@
 // retry starts another attempt, a retry or a hedged one, if the class, the time left, the
 // retry budget and the endpoints allow it, and reports whether it did.
 func (g *Gateway) retry(r *request) bool {
-	if !g.mayRetry(r) {
+	if !g.mayRetry(r) || g.throttle.shouldShed(g.now) {
 		return false
 	}
 	ep, expectedLatency := g.balancer.pick(g.now, r)
-	if ep == nil || g.throttle.shouldShed(g.now, r, ep, expectedLatency) {
+	if ep == nil || g.throttle.isTooLate(g.now, r, ep, expectedLatency) {
 		return false
 	}
 	g.retryBudget.withdraw()
--- a/internal/policy/throttle.go
+++ b/internal/policy/throttle.go
@@ -36,8 +36,17 @@
 	return throttle{settings: settings, rng: rng}
 }
 
-// shouldShed reports whether to shed r: at random while too few attempts are answered in
-// time, or because even ep, the best endpoint, would probably answer after the latency
+// shouldShed reports whether to shed a request: at random while too few attempts are answered in
+// time. It is called before an endpoint is chosen, as the choice may begin a recovery trial.
+func (t *throttle) shouldShed(now Time) bool {
+	if t.rng.Float64()*t.expected >= t.expected-maxStartedPerSuccess*t.succeeded-ignoredFailures {
+		return false
+	}
+	t.record(now, 1, 0)
+	return true
+}
+
+// isTooLate reports whether even ep, the best endpoint, would probably answer after the latency
 // objective; expectedLatency is the expected latency there in seconds. Shedding does not
 // help endpoints that are slow without a queue, so endpoints without attempts of this
 // gateway still get some requests.
@@ -45,11 +54,7 @@
 // The expected latency counts a full service time for each attempt in the queue, though
 // endpoints work on several at once. maxLatencyShare and maxIdleLatencyShare allow for that;
 // higher shares let queues grow at endpoints that are really overloaded.
-func (t *throttle) shouldShed(now Time, r *request, ep *endpoint, expectedLatency float64) bool {
-	if t.rng.Float64()*t.expected < t.expected-maxStartedPerSuccess*t.succeeded-ignoredFailures {
-		t.record(now, 1, 0)
-		return true
-	}
+func (t *throttle) isTooLate(now Time, r *request, ep *endpoint, expectedLatency float64) bool {
 	share := maxLatencyShare
 	if ep.inFlight == 0 { // in a large fleet, attempts of other gateways are likely
 		share += (maxIdleLatencyShare - maxLatencyShare) * min(1, smallFleetSize/float64(t.settings.Gateways))
