policy: time-outs, refusals, retries and hedges follow the caller's time

Callers saw: requests refused or given up while they still waited. A caller with twice the time fared the same, one of an operator with half the aim worse. A gateway whose endpoints took 1.9 s for a while shed every request of 500 ms for good afterwards, as only answers correct the estimate (0 of 100).

Cause: attemptTimeoutShare, minLateWeight, maxLatencyShare, maxIdleLatencyShare, the hedge delays, initialServiceTimeDivisor and request.latencyDeadline.

Change: the policy no longer knows the objective or what a late answer earns. - An attempt may take the time until the client gives up, and further ones start until then. - A request is refused if the work ahead does not fit into its time: the service time without a queue, and the expected wait times the observed 95th percentile of latency over prediction. With no attempt of its class in flight a first attempt starts all the same (deadline.go). - A hedge starts after that percentile of the latency; the first guess of a service time is a constant that the first answers replace; an answer weighs more the older the estimate is. - A request waits for the counter if, after the counter's timeout, an attempt still fits; before, twice that timeout had to be left, in two slightly different comparisons.

Cost: queues.

--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -48,13 +48,11 @@
 
 func (c *Class) policy() policy.Class {
 	return policy.Class{
-		LatencyObjective: c.LatencyObjective,
-		Deadline:         c.Deadline,
-		Idempotency:      policy.Idempotency(c.Idempotency),
-		DedupScope:       policy.DedupScope(c.DedupScope),
-		DedupWindow:      c.DedupWindow,
-		LateWeight:       c.LateWeight,
-		Streaming:        c.Streaming,
+		Deadline:    c.Deadline,
+		Idempotency: policy.Idempotency(c.Idempotency),
+		DedupScope:  policy.DedupScope(c.DedupScope),
+		DedupWindow: c.DedupWindow,
+		Streaming:   c.Streaming,
 	}
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -17,8 +17,8 @@
 // larger body are not forwarded.
 const MaxBodyBytes = 64 << 10
 
-// Settings is the settings object. Other keys are ignored, among them the prices and the worth of
-// requests, on which no decision depends. In JSON, durations are integers in nanoseconds.
+// Settings is the settings object. Other keys are ignored, among them the prices, the worth of
+// requests and the latency that is aimed at, on which no decision depends. In JSON, durations are integers in nanoseconds.
 type Settings struct {
 	Gateways      int           `json:"nInstances"`
 	GatewayIndex  int           `json:"rank"`
@@ -34,14 +34,12 @@
 
 // Class holds the settings of one class of requests.
 type Class struct {
-	Name             string        `json:"name"`
-	LatencyObjective time.Duration `json:"aim"`
-	Deadline         time.Duration `json:"deadline"`
-	Idempotency      Idempotency   `json:"effect"`
-	DedupScope       DedupScope    `json:"group"`
-	LateWeight       float64       `json:"lateWorth"`
-	Streaming        bool          `json:"stream"`
-	DedupWindow      time.Duration `json:"window"`
+	Name        string        `json:"name"`
+	Deadline    time.Duration `json:"deadline"`
+	Idempotency Idempotency   `json:"effect"`
+	DedupScope  DedupScope    `json:"group"`
+	Streaming   bool          `json:"stream"`
+	DedupWindow time.Duration `json:"window"`
 }
 
 // Plan holds the quota and the hard limit of the tenants that have the plan.
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -1,7 +1,5 @@
 package policy
 
-import "time"
-
 // requestReceived admits a request and starts its first attempt, holds it for a counter
 // call, or rejects it at once.
 func (g *Gateway) requestReceived(ev RequestReceived) {
@@ -45,17 +43,13 @@
 }
 
 func (g *Gateway) newRequest(ev RequestReceived, t *tenantState) *request {
-	class := &g.settings.Classes[ev.Class]
-	deadline := g.now + ev.Timeout
-	objectiveAt := g.now + time.Duration(attemptTimeoutShare*float64(class.LatencyObjective))
 	return &request{
-		id:              ev.RequestID,
-		classIndex:      ev.Class,
-		class:           class,
-		tenant:          t,
-		units:           ev.Units,
-		deadline:        deadline,
-		latencyDeadline: min(objectiveAt, deadline),
+		id:         ev.RequestID,
+		classIndex: ev.Class,
+		class:      &g.settings.Classes[ev.Class],
+		tenant:     t,
+		units:      ev.Units,
+		deadline:   g.now + ev.Timeout,
 	}
 }
 
@@ -98,7 +92,7 @@
 		g.rejectOrFail(r, g.endpointDelay())
 		return false
 	}
-	if g.throttle.isTooLate(g.now, r, ep, expectedLatency) {
+	if g.isTooLate(r, expectedLatency) {
 		g.rejectOrFail(r, g.queueDelay(expectedLatency))
 		return false
 	}
--- a/internal/policy/attempt.go
+++ b/internal/policy/attempt.go
@@ -3,12 +3,14 @@
 // startAttempt starts an attempt of r; expectedLatency is in seconds.
 func (g *Gateway) startAttempt(r *request, ep *endpoint, expectedLatency float64) {
 	r.attempts = append(r.attempts, attempt{
-		endpoint:       ep,
-		startedAt:      g.now,
-		inFlight:       true,
-		inFlightBefore: ep.inFlight,
-		isTrial:        ep.ejected,
+		endpoint:        ep,
+		startedAt:       g.now,
+		inFlight:        true,
+		inFlightBefore:  ep.inFlight,
+		expectedLatency: expectedLatency,
+		isTrial:         ep.ejected,
 	})
+	g.latencies.classes[r.classIndex].inFlight++
 	g.throttle.attemptStarted(g.now)
 	ep.attemptStarted(g.now)
 	ep.inFlight++
@@ -51,6 +53,7 @@
 	a.neverRan = ev.Outcome.NeverRan()
 	a.endpoint.inFlight--
 	r.tenant.inFlight--
+	g.latencies.classes[r.classIndex].inFlight--
 	g.recordOutcome(r, a, &ev)
 	if ev.Outcome == Succeeded && !r.done && g.settings.ActualUnitsReported && ev.ActualUnits > 0 {
 		r.tenant.tokens -= ev.ActualUnits - r.units
--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -23,5 +23,5 @@
 //   - Load balancing over endpoints: endpoint.go, balancer.go, latency.go, outlier.go,
 //     slowstart.go, throttle.go.
 //   - The life of a request from its first attempt to its final answer: request.go,
-//     attempt.go, retry.go, hedge.go, answer.go.
+//     attempt.go, deadline.go, retry.go, hedge.go, answer.go.
 package policy
--- a/internal/policy/hedge.go
+++ b/internal/policy/hedge.go
@@ -1,11 +1,8 @@
 package policy
 
 const (
-	hedgeLatencyMultiple = 3.0  // delay of a hedged attempt in multiples of the expected latency
-	minHedgeDelayShare   = 0.15 // shortest delay as a share of the latency objective
-	maxHedgeDelayShare   = 0.5  // longest delay as a share of the latency objective
-	maxHedgeUtilization  = 0.5  // at this mean utilization and above, hedged attempts would only lengthen queues
-	utilizationGain      = 0.05 // weight of one load report in the moving average of utilization
+	maxHedgeUtilization = 0.5  // at this mean utilization and above, hedged attempts would only lengthen queues
+	utilizationGain     = 0.05 // weight of one load report in the moving average of utilization
 )
 
 // hedgeLimiter prevents hedged attempts while endpoints report high utilization.
@@ -23,14 +20,16 @@
 
 // scheduleHedge starts the timer for a hedged attempt, if the class and the settings allow
 // one, when the first attempt of r has started; expectedLatency is the expected latency of
-// that attempt in seconds.
+// that attempt in seconds, 0 if it was not predicted. The attempt is hedged once it takes longer
+// than most do, if the client still waits then.
 func (g *Gateway) scheduleHedge(r *request, expectedLatency float64) {
 	if len(r.attempts) != 1 || r.class.Idempotency == NonIdempotent || !g.settings.AllowHedging {
 		return
 	}
-	objective := r.class.LatencyObjective.Seconds()
-	after := min(max(hedgeLatencyMultiple*expectedLatency, minHedgeDelayShare*objective), maxHedgeDelayShare*objective)
-	g.startTimer(seconds(after), func() { g.hedge(r) })
+	delay := seconds(g.latencies.likely(max(expectedLatency, g.latencies.idleLatency(r.classIndex))))
+	if g.now+delay < r.deadline {
+		g.startTimer(delay, func() { g.hedge(r) })
+	}
 }
 
 // hedge starts a hedged attempt if the request has exactly one attempt in flight, the first or
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -2,19 +2,15 @@
 
 import "time"
 
-const (
-	attemptTimeoutShare = 0.97 // an attempt times out when this share of its request's latency objective has passed
-	minLateWeight       = 0.3  // with at least this LateWeight, attempts may run past the latency objective
-)
-
 // attempt is one attempt of a request at an endpoint.
 type attempt struct {
-	endpoint       *endpoint
-	startedAt      Time
-	inFlight       bool // no outcome yet
-	neverRan       bool // its outcome proves that the endpoint did not run it
-	inFlightBefore int  // this gateway's attempts in flight at the endpoint when it started
-	isTrial        bool // the endpoint was ejected when it started, so its outcome counts as that of a recovery trial
+	endpoint        *endpoint
+	startedAt       Time
+	inFlight        bool    // no outcome yet
+	neverRan        bool    // its outcome proves that the endpoint did not run it
+	inFlightBefore  int     // this gateway's attempts in flight at the endpoint when it started
+	expectedLatency float64 // when it started, seconds; 0: not predicted
+	isTrial         bool    // the endpoint was ejected when it started, so its outcome counts as that of a recovery trial
 }
 
 // request is the state of a client's request, kept until it is done and has no attempt in
@@ -26,7 +22,6 @@
 	tenant                *tenantState
 	units                 float64
 	chargedToSharedBucket bool // its units were taken from the tenant's shared bucket
-	latencyDeadline       Time // end of the latency objective, less a margin; at most deadline
 	deadline              Time // when the client gives up
 	attempts              []attempt
 	done                  bool // it has its final answer, or its client has disconnected
@@ -77,14 +72,13 @@
 	return n
 }
 
-// attemptTimeout returns the timeout of an attempt that starts now, or 0 if it may run until
-// the client gives up. An attempt may run past the latency deadline only if a late answer
-// earns enough weight, if the response is streamed, or if it starts after that deadline.
+// attemptTimeout returns the timeout of an attempt that starts now: the time until the client gives
+// up. It is 0, for none, if the response is streamed, as the client then waits for its end.
 func (r *request) attemptTimeout(now Time) time.Duration {
-	if r.class.LateWeight >= minLateWeight || r.class.Streaming || r.latencyDeadline <= now {
+	if r.class.Streaming {
 		return 0
 	}
-	return r.latencyDeadline - now
+	return max(r.deadline-now, 0)
 }
 
 // clientMayRetry reports whether a retry by the client, which may reach any endpoint, is
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	ep, expectedLatency := g.balancer.pick(g.now, r)
-	if ep == nil || g.throttle.isTooLate(g.now, r, ep, expectedLatency) {
+	if ep == nil || g.isTooLate(r, expectedLatency) {
 		return false
 	}
 	g.retryBudget.withdraw()
@@ -42,7 +42,7 @@
 	if len(r.attempts) >= min(maxAttempts, g.settings.MaxAttempts) {
 		return false
 	}
-	if !g.retryBudget.allows() || g.now >= r.latencyDeadline {
+	if !g.retryBudget.allows() || g.now >= r.deadline {
 		return false
 	}
 	switch r.inFlight() {
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -25,13 +25,11 @@
 
 // Class describes one class of requests.
 type Class struct {
-	LatencyObjective time.Duration // an answer within this time earns its full worth
-	Deadline         time.Duration // how long a client waits in total, over all its retries
-	Idempotency      Idempotency
-	DedupScope       DedupScope    // for IdempotentByKey only
-	DedupWindow      time.Duration // for IdempotentByKey only: how long duplicates are dropped
-	LateWeight       float64       // share of its worth that an answer earns between objective and deadline
-	Streaming        bool          // the response is streamed to the client
+	Deadline    time.Duration // how long a client waits in total, over all its retries
+	Idempotency Idempotency
+	DedupScope  DedupScope    // for IdempotentByKey only
+	DedupWindow time.Duration // for IdempotentByKey only: how long duplicates are dropped
+	Streaming   bool          // the response is streamed to the client
 }
 
 // Plan holds the limits of a tenant, which apply to all gateways together. Quota and hard
--- a/internal/policy/sharedbucket.go
+++ b/internal/policy/sharedbucket.go
@@ -40,7 +40,7 @@
 	overQuota := overQuotaProbability(estimates[kind])
 	callProbability := g.overQuota.callProbability(overQuota.unitsAtRisk(r.units), g.counterBudget.callRate)
 	callsCounter := g.rng.Float64() < callProbability
-	waitsForReply := callsCounter && !g.stalls.recentlyStalled(g.now) && r.deadline-g.now > 2*g.settings.CounterTimeout
+	waitsForReply := callsCounter && g.mayWaitForCounter(r)
 	if !waitsForReply {
 		g.decideUncoordinated(r, overQuota)
 	}
--- a/internal/policy/sparequota.go
+++ b/internal/policy/sparequota.go
@@ -28,7 +28,7 @@
 	if !g.counterBudget.allows(g.rng.Float64()) {
 		return false
 	}
-	if g.stalls.recentlyStalled(g.now) || r.deadline-g.now < 2*g.settings.CounterTimeout {
+	if !g.mayWaitForCounter(r) {
 		return false
 	}
 	call := &spareQuotaCall{
--- a/internal/policy/throttle.go
+++ b/internal/policy/throttle.go
@@ -14,9 +14,6 @@
 	// Attempts that all gateways together start at each endpoint before any answer is known.
 	// With maxWarmUpShare, this makes about two at an endpoint that is warming up.
 	initialAttemptsPerEndpoint = 5.0
-
-	maxLatencyShare     = 0.4  // requests are shed if the expected latency exceeds this share of the remaining objective
-	maxIdleLatencyShare = 0.65 // the same for endpoints without attempts of this gateway, where latency is not due to a queue
 )
 
 // throttle sheds requests so that the number of attempts stays close to the number that is
@@ -46,22 +43,6 @@
 	return true
 }
 
-// isTooLate reports whether even ep, the best endpoint, would probably answer after the latency
-// objective; expectedLatency is the expected latency there in seconds. Shedding does not
-// help endpoints that are slow without a queue, so endpoints without attempts of this
-// gateway still get some requests.
-//
-// The expected latency counts a full service time for each attempt in the queue, though
-// endpoints work on several at once. maxLatencyShare and maxIdleLatencyShare allow for that;
-// higher shares let queues grow at endpoints that are really overloaded.
-func (t *throttle) isTooLate(now Time, r *request, ep *endpoint, expectedLatency float64) bool {
-	share := maxLatencyShare
-	if ep.inFlight == 0 { // in a large fleet, attempts of other gateways are likely
-		share += (maxIdleLatencyShare - maxLatencyShare) * min(1, smallFleetSize/float64(t.settings.Gateways))
-	}
-	return expectedLatency > share*(r.latencyDeadline-now).Seconds()
-}
-
 // attemptStarted counts a started attempt.
 func (t *throttle) attemptStarted(now Time) {
 	t.record(now, 0, 0)
--- a/internal/policy/validate.go
+++ b/internal/policy/validate.go
@@ -82,8 +82,6 @@
 		return &SettingsError{Section: "class", Index: index, Field: field, Reason: fmt.Sprintf("%v %s", value, reason)}
 	}
 	switch {
-	case class.LatencyObjective <= 0:
-		return invalid("LatencyObjective", class.LatencyObjective, "is not above zero")
 	case class.Deadline < 0:
 		return invalid("Deadline", class.Deadline, "is negative")
 	case class.DedupWindow < 0:
