policy: requests at hanging endpoints are hedged again, their time-outs shed nobody

Since attempts may take the caller's time, the hedge is what saves them.

Cause: a hedge was tried once, and not while the mean utilization is 0.5 or more, although an attempt at an endpoint that hangs takes no capacity; and the throttle counted each time-out at an ejected endpoint as a lack of capacity and shed other requests for it.

Change: a hedge that may not start is tried again after twice the delay while the client waits. It may start at high utilization if the endpoint of the attempt in flight is ejected. Time-outs at an ejected endpoint do not count in the throttle. Both only while most endpoints are healthy: if most look like outliers, the cause is likely an overload.

--- a/internal/policy/attempt.go
+++ b/internal/policy/attempt.go
@@ -66,7 +66,11 @@
 // hedge limiter with an attempt's outcome.
 func (g *Gateway) recordOutcome(r *request, a *attempt, ev *AttemptEnded) {
 	latency := ev.Latency.Seconds()
-	g.throttle.attemptEnded(g.now, ev.Outcome)
+	if ev.Outcome == TimedOut && g.balancer.isOutlier(a.endpoint) {
+		g.throttle.attemptUncounted() // the endpoint is at fault, not a lack of capacity
+	} else {
+		g.throttle.attemptEnded(g.now, ev.Outcome)
+	}
 	g.latencies.observe(g.now, r.classIndex, a, ev.Outcome, latency)
 	g.outliers.observe(g.now, a, ev.Outcome, latency, g.latencies.meanLatency)
 	if utilization := ev.Report.Utilization; utilization != nil {
--- a/internal/policy/balancer.go
+++ b/internal/policy/balancer.go
@@ -21,6 +21,8 @@
 	latencies *latencyEstimator
 	outliers  *outlierDetector
 	throttle  *throttle
+
+	honorsEjections bool // at the last choice, most endpoints were healthy
 }
 
 // newBalancer returns the balancer of a gateway. The gateway's other parts must be set.
@@ -63,6 +65,7 @@
 		honorEjections: float64(healthy) >= panicThreshold*float64(listed),
 		bestScore:      math.Inf(1),
 	}
+	b.honorsEjections = s.honorEjections
 	b.scanCandidates(&s, r)
 	if b.preferWarmingUp(&s, listed) {
 		s.best = s.warmingUp
@@ -75,6 +78,9 @@
 	return s.best, s.bestLatency
 }
 
+// isOutlier reports whether an endpoint is ejected while most are healthy.
+func (b *balancer) isOutlier(ep *endpoint) bool { return ep.ejected && b.honorsEjections }
+
 // ejectOutliers ejects outliers, and returns the number of listed endpoints and the number
 // of those that are not ejected.
 func (b *balancer) ejectOutliers(now Time) (listed, healthy int) {
--- a/internal/policy/hedge.go
+++ b/internal/policy/hedge.go
@@ -1,5 +1,7 @@
 package policy
 
+import "time"
+
 const (
 	maxHedgeUtilization = 0.5  // at this mean utilization and above, hedged attempts would only lengthen queues
 	utilizationGain     = 0.05 // weight of one load report in the moving average of utilization
@@ -26,16 +28,30 @@
 	if len(r.attempts) != 1 || r.class.Idempotency == NonIdempotent || !g.settings.AllowHedging {
 		return
 	}
-	delay := seconds(g.latencies.likely(max(expectedLatency, g.latencies.idleLatency(r.classIndex))))
+	g.startHedgeTimer(r, seconds(g.latencies.likely(max(expectedLatency, g.latencies.idleLatency(r.classIndex)))))
+}
+
+// startHedgeTimer has a hedged attempt start after a delay, if the client still waits then.
+func (g *Gateway) startHedgeTimer(r *request, delay time.Duration) {
 	if g.now+delay < r.deadline {
-		g.startTimer(delay, func() { g.hedge(r) })
+		g.startTimer(delay, func() { g.hedge(r, delay) })
 	}
 }
 
 // hedge starts a hedged attempt if the request has exactly one attempt in flight, the first or
-// a retry, and no response has begun to stream to the client.
-func (g *Gateway) hedge(r *request) {
-	if !r.done && !r.responseStarted && r.inFlight() == 1 && g.hedgeLimiter.allows() {
-		g.retry(r)
+// a retry, and no response has begun to stream to the client. If the endpoints have no capacity for
+// it, or no other condition for a further attempt is met, it tries again after twice the delay.
+func (g *Gateway) hedge(r *request, delay time.Duration) {
+	if r.done || r.responseStarted || r.inFlight() != 1 {
+		return
 	}
+	if !g.allowsHedge(r) || !g.retry(r) {
+		g.startHedgeTimer(r, 2*delay)
+	}
+}
+
+// allowsHedge reports whether the endpoints have capacity for a hedged attempt, or the attempt in
+// flight takes none, as its endpoint has been ejected.
+func (g *Gateway) allowsHedge(r *request) bool {
+	return g.hedgeLimiter.allows() || g.balancer.isOutlier(r.attemptInFlight().endpoint)
 }
--- a/internal/policy/overload_sim_test.go
+++ b/internal/policy/overload_sim_test.go
@@ -230,3 +230,20 @@
 		}
 	}
 }
+
+// Guards against requests that wait for endpoints that hang until their callers give up: all
+// idempotent requests have time for another endpoint. The others are lost if they went to one that
+// hangs, a fifth of them at most.
+func TestHangingEndpointsLoseOnlyUnsafeRequests(t *testing.T) {
+	const hanging, tolerance = 2, 0.05
+	want := 1 - bookShare*hanging/overloadEndpoints - tolerance
+	for _, gateways := range []int{3, 20, 60} {
+		day := &overloadDay{gateways: gateways, pressure: 0.6, quota: 10, waitShare: 0.5, hanging: hanging, seed: 1}
+		result := day.run(t)
+		result.log(t)
+		if pressed := &result.phases[1]; pressed.share(pressed.served) < want {
+			t.Errorf("%d gateways: served %.3f while %d of %d endpoints hang, want at least %.3f", gateways, pressed.share(pressed.served),
+				hanging, overloadEndpoints, want)
+		}
+	}
+}
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -72,6 +72,16 @@
 	return n
 }
 
+// attemptInFlight returns the last attempt without an outcome, or nil.
+func (r *request) attemptInFlight() *attempt {
+	for i := len(r.attempts) - 1; i >= 0; i-- {
+		if r.attempts[i].inFlight {
+			return &r.attempts[i]
+		}
+	}
+	return nil
+}
+
 // attemptTimeout returns the timeout of an attempt that starts now: the time until the client gives
 // up. It is 0, for none, if the response is streamed, as the client then waits for its end.
 func (r *request) attemptTimeout(now Time) time.Duration {
--- a/internal/policy/throttle.go
+++ b/internal/policy/throttle.go
@@ -61,11 +61,15 @@
 	}
 	switch outcome {
 	case Succeeded, TimedOut, Overloaded:
-	default: // the other outcomes tell nothing about the endpoints' capacity, so the attempt does not count as started
-		t.started = max(t.started-1, 0)
+	default: // the other outcomes tell nothing about the endpoints' capacity
+		t.attemptUncounted()
 	}
 }
 
+// attemptUncounted takes back that an attempt was started, as its end tells nothing about the
+// endpoints' capacity.
+func (t *throttle) attemptUncounted() { t.started = max(t.started-1, 0) }
+
 // record decays the counts to now and then adds to them: expected is the number of attempts
 // that should have been answered in time, or of requests that were shed because too few
 // answers came; succeeded is the number answered in time.
