--- a/cmd/simadapter/decode.go
+++ b/cmd/simadapter/decode.go
@@ -104,7 +104,6 @@
 		Latency:     m.Latency,
 		RequestDone: m.RequestDone,
 		ActualUnits: m.ActualUnits,
-		RateUsed:    m.RateUsed,
 		Report:      m.loadReport(),
 	}, nil
 }
--- a/cmd/simadapter/wire.go
+++ b/cmd/simadapter/wire.go
@@ -41,7 +41,6 @@
 	Latency        time.Duration   `json:"lag"`
 	RequestDone    bool            `json:"terminal"`
 	ActualUnits    float64         `json:"trueUnits"`
-	RateUsed       int             `json:"metered"`
 	LoadReport     *loadReport     `json:"telemetry"`
 	TimerID        uint64          `json:"cookie"`
 	CounterKey     uint64          `json:"entryName"`
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -2,10 +2,6 @@
 
 import "swiftpitch/internal/policy"
 
-// loadReportsByPull is the [LoadReports.Channel] with which load reports come only with health
-// checks.
-const loadReportsByPull = "pull"
-
 // DiscoveryPolled is the [Settings.DiscoveryMode] in which discovery is one service for the
 // whole fleet and sends updates only on request. The edge node polls it; the policy must
 // subscribe.
@@ -15,27 +11,25 @@
 // run of the node.
 func (s *Settings) Policy(seed uint64) policy.Settings {
 	settings := policy.Settings{
-		Seed:                      seed,
-		GatewayIndex:              s.GatewayIndex,
-		Gateways:                  s.Gateways,
-		MustSubscribe:             s.DiscoveryMode == DiscoveryPolled,
-		SubscriptionTimeout:       s.EndpointRules.SubscriptionTimeout,
-		CounterEnabled:            s.Accounting.CounterEnabled,
-		CounterTimeout:            s.Accounting.CounterTimeout,
-		MeterPeriod:               s.Accounting.MeterPeriod,
-		ActualUnitsReported:       s.Accounting.ActualUnitsReported,
-		MaxRequestUnits:           s.Accounting.MaxRequestUnits,
-		SlowStartCapacity:         s.EndpointRules.SlowStartCapacity,
-		SlowStartDuration:         s.EndpointRules.SlowStartDuration,
-		OverloadMultiple:          s.EndpointRules.OverloadMultiple,
-		OverloadDuration:          s.EndpointRules.OverloadDuration,
-		AllowCancel:               s.Limits.AllowCancel,
-		AllowHealthChecks:         s.Limits.AllowHealthChecks,
-		AllowHedging:              s.Limits.AllowHedging,
-		AllowRetryAfter:           s.Limits.AllowRetryAfter,
-		MaxAttempts:               s.Limits.MaxAttempts,
-		MaxRetryAfter:             s.Limits.MaxRetryAfter,
-		LoadReportsInHealthChecks: s.LoadReports.Channel == loadReportsByPull,
+		Seed:                seed,
+		GatewayIndex:        s.GatewayIndex,
+		Gateways:            s.Gateways,
+		MustSubscribe:       s.DiscoveryMode == DiscoveryPolled,
+		SubscriptionTimeout: s.EndpointRules.SubscriptionTimeout,
+		CounterEnabled:      s.Accounting.CounterEnabled,
+		CounterTimeout:      s.Accounting.CounterTimeout,
+		ActualUnitsReported: s.Accounting.ActualUnitsReported,
+		MaxRequestUnits:     s.Accounting.MaxRequestUnits,
+		SlowStartCapacity:   s.EndpointRules.SlowStartCapacity,
+		SlowStartDuration:   s.EndpointRules.SlowStartDuration,
+		OverloadMultiple:    s.EndpointRules.OverloadMultiple,
+		OverloadDuration:    s.EndpointRules.OverloadDuration,
+		AllowCancel:         s.Limits.AllowCancel,
+		AllowHealthChecks:   s.Limits.AllowHealthChecks,
+		AllowHedging:        s.Limits.AllowHedging,
+		AllowRetryAfter:     s.Limits.AllowRetryAfter,
+		MaxAttempts:         s.Limits.MaxAttempts,
+		MaxRetryAfter:       s.Limits.MaxRetryAfter,
 	}
 	for _, class := range s.Classes {
 		settings.Classes = append(settings.Classes, class.policy())
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -29,7 +29,6 @@
 	EndpointRules EndpointRules `json:"contract"`
 	Accounting    Accounting    `json:"familyInfo"`
 	Limits        Limits        `json:"limits"`
-	LoadReports   LoadReports   `json:"report"`
 }
 
 // Class holds the settings of one class of requests.
@@ -68,7 +67,6 @@
 type Accounting struct {
 	CounterEnabled      bool          `json:"counter"`
 	CounterTimeout      time.Duration `json:"countWait"`
-	MeterPeriod         time.Duration `json:"meter"`
 	MaxRequestUnits     float64       `json:"mostUnits"`
 	ActualUnitsReported bool          `json:"truedUp"`
 }
@@ -85,11 +83,6 @@
 	AllowHedging        bool          `json:"secondCopies"`
 }
 
-// LoadReports tells how endpoints deliver load reports: "piggyback", "pull" or "silent".
-type LoadReports struct {
-	Channel string `json:"via"`
-}
-
 // Idempotency is a [policy.Idempotency] that is decoded from its name.
 type Idempotency policy.Idempotency
 
--- a/internal/policy/event.go
+++ b/internal/policy/event.go
@@ -103,7 +103,6 @@
 	Latency     time.Duration // since the attempt was started
 	RequestDone bool          // the request is done, by this outcome or earlier
 	ActualUnits float64       // units actually used; 0: not reported
-	RateUsed    int           // percentage of the plan's rate in use, plus 1; 0: not reported
 	Report      LoadReport
 }
 
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -56,7 +56,6 @@
 	SubscriptionTimeout time.Duration // after this long without a subscription, the gateway counts as notified of changes, so a failed subscription is retried sooner
 	CounterEnabled      bool          // the counter service may be called
 	CounterTimeout      time.Duration // a counter call without a reply ends after this
-	MeterPeriod         time.Duration // period of the delayed usage meter; 0: none
 	ActualUnitsReported bool          // responses report the units actually used
 	MaxRequestUnits     float64       // most units that one request can take; 0: unknown
 
@@ -65,11 +64,10 @@
 	OverloadMultiple  float64       // load, in multiples of its current capacity, that overloads a warming-up endpoint
 	OverloadDuration  time.Duration // how long such a load must last to make the endpoint fail
 
-	AllowCancel               bool          // attempts may be canceled
-	AllowHealthChecks         bool          // endpoints may be health-checked
-	AllowHedging              bool          // two attempts of a request may be in flight at once
-	AllowRetryAfter           bool          // clients honor Retry-After
-	MaxAttempts               int           // most attempts of one request
-	MaxRetryAfter             time.Duration // longest Retry-After that clients honor
-	LoadReportsInHealthChecks bool          // load reports come only with health checks
+	AllowCancel       bool          // attempts may be canceled
+	AllowHealthChecks bool          // endpoints may be health-checked
+	AllowHedging      bool          // two attempts of a request may be in flight at once
+	AllowRetryAfter   bool          // clients honor Retry-After
+	MaxAttempts       int           // most attempts of one request
+	MaxRetryAfter     time.Duration // longest Retry-After that clients honor
 }
--- a/internal/policy/tenant.go
+++ b/internal/policy/tenant.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	minInterval        = 500 * time.Millisecond // shorter intervals cost more counter calls than their totals are worth
+	minInterval        = 500 * time.Millisecond // shorter intervals have too few requests to measure demand, and need more counter calls
 	maxInterval        = 10 * time.Second       // longer intervals adapt to a shift of traffic too late
 	maxIdleIntervals   = 4                      // intervals without a request after which a tenant's state may be dropped; less while there are many tenants
 	initialDemandShare = 0.5                    // assumed fleet-wide demand of a new tenant, as a fraction of its quota
