policy: requests shed by the throttle do not count as failures

Callers saw: after an outage of all endpoints, requests were refused for about 20 s more although every attempt succeeded again: with 50 requests a second and an outage of 5 s, 5, 8, 11, 4 and 14 were forwarded in the first seconds after it, all 50 from the 21st on (a trial on a scratch copy).

Cause: shouldShed recorded each request that it shed as an attempt without an answer in time, so refusals justified further refusals; only 1.5 requests in 3 s got through whatever the endpoints did.

Change: only attempts count. The counts now decay before each decision, also while no attempt ends.

--- a/internal/policy/throttle.go
+++ b/internal/policy/throttle.go
@@ -23,7 +23,7 @@
 type throttle struct {
 	settings  *Settings
 	rng       *rand.Rand
-	expected  float64 // attempts that should have been answered in time, shed requests included
+	expected  float64 // attempts that should have been answered in time
 	succeeded float64 // attempts that were answered in time
 	started   float64 // attempts started
 	updatedAt Time
@@ -34,13 +34,12 @@
 }
 
 // shouldShed reports whether to shed a request: at random while too few attempts are answered in
-// time. It is called before an endpoint is chosen, as the choice may begin a recovery trial.
+// time. It is called before an endpoint is chosen, as the choice may begin a recovery trial. Shed
+// requests do not count as failures, or refusals would go on long after their cause.
 func (t *throttle) shouldShed(now Time) bool {
-	if t.rng.Float64()*t.expected >= t.expected-maxStartedPerSuccess*t.succeeded-ignoredFailures {
-		return false
-	}
-	t.record(now, 1, 0)
-	return true
+	t.record(now, 0, 0)
+	excess := t.expected - maxStartedPerSuccess*t.succeeded - ignoredFailures
+	return t.rng.Float64()*t.expected < excess
 }
 
 // attemptStarted counts a started attempt.
@@ -71,8 +70,7 @@
 func (t *throttle) attemptUncounted() { t.started = max(t.started-1, 0) }
 
 // record decays the counts to now and then adds to them: expected is the number of attempts
-// that should have been answered in time, or of requests that were shed because too few
-// answers came; succeeded is the number answered in time.
+// that should have been answered in time, succeeded the number of those that were.
 func (t *throttle) record(now Time, expected, succeeded float64) {
 	decay := math.Exp(-(now - t.updatedAt).Seconds() / throttleWindow.Seconds())
 	t.expected = t.expected*decay + expected
--- a/internal/policy/throttle_test.go
+++ b/internal/policy/throttle_test.go
@@ -97,3 +97,32 @@
 			"%d forwarded when all time out, want 1 to 200", few, most)
 	}
 }
+
+// Guards against refusals that feed on themselves: after an outage of all endpoints, requests are
+// forwarded again once the attempts that failed are no longer recent.
+func TestThrottleEndsSoonAfterOutage(t *testing.T) {
+	const rate, outage, recovery = 50, 5, 5 // requests per second, and seconds
+	settings := testSettings()
+	settings.AllowHedging, settings.MaxAttempts = false, 1
+	h := newHarness(t, settings, 10)
+	h.serveWithLatency(100, 20*ms)
+	forwarded := make([]int, outage+recovery+1) // by second
+	for i := range rate * len(forwarded) {
+		h.advance(time.Second/rate, replyWithTotal(0))
+		id, actions := h.receive(0, 1, 1, 1)
+		for _, attempt := range startedAttempts(actions) {
+			forwarded[i/rate]++
+			if i/rate >= outage {
+				h.succeed(id, attempt)
+				continue
+			}
+			h.step(policy.AttemptEnded{RequestID: id, Endpoint: attempt.Endpoint, Outcome: policy.TimedOut, Latency: time.Second})
+		}
+	}
+	if last := forwarded[outage-1]; last > rate/2 {
+		t.Errorf("%d of %d requests forwarded in the last second of the outage, want at most half", last, rate)
+	}
+	if last := forwarded[outage+recovery]; last < rate*9/10 {
+		t.Errorf("forwarded of %d requests in each second: %v; want at least 9 in 10 when an outage of %d s ended %d s ago", rate, forwarded, outage, recovery)
+	}
+}
