policy: at the wait at which one request is rejected, all are

Callers saw: since refusals follow the caller's time, those with less of it were crowded out.

Cause: endpoints serve in the order of arrival. Requests with more time were still admitted at a wait for which others had no time left, and kept the queue there.

Change (waitLimit): for a second after a request was rejected because the wait did not fit into its time, no request is admitted at that wait or a longer one. A request that asks for less than half of its class's deadline does not set that limit, as it would be rejected in a short queue too.

--- a/internal/policy/deadline.go
+++ b/internal/policy/deadline.go
@@ -1,5 +1,35 @@
 package policy
 
+import (
+	"math"
+	"time"
+)
+
+// crowdedPeriod is how long all requests are rejected at a wait at which one had to be.
+const crowdedPeriod = time.Second
+
+// waitLimit is the longest wait at endpoints for which requests are admitted. Endpoints serve in the
+// order of arrival, so requests with much time left would fill the queue until no other request has
+// the time to wait for its turn. At the wait at which a request must be rejected, all are rejected.
+type waitLimit struct {
+	limit float64 // seconds
+	until Time    // when the limit ends
+}
+
+// at returns the limit at a time in seconds, infinite for none.
+func (l *waitLimit) at(now Time) float64 {
+	if now >= l.until {
+		return math.Inf(1)
+	}
+	return l.limit
+}
+
+// lower limits the wait to that at which a request had to be rejected, in seconds.
+func (l *waitLimit) lower(now Time, wait float64) {
+	l.limit = min(l.at(now), wait)
+	l.until = now + crowdedPeriod
+}
+
 // isTooLate reports whether an attempt that starts now would probably be answered after the client
 // has given up, as the work ahead of it does not fit into the time left: its work would then be done
 // for nobody and delay the others. expectedLatency is its expected latency in seconds, 0 for a recovery
@@ -9,7 +39,16 @@
 	if len(r.attempts) == 0 && g.latencies.classes[r.classIndex].inFlight == 0 {
 		return false
 	}
-	return g.latencies.withLikelyWait(r.classIndex, expectedLatency) > (r.deadline - g.now).Seconds()
+	timeLeft := r.deadline - g.now
+	unqueued := g.latencies.unqueuedLatency(r.classIndex)
+	wait := g.latencies.likelyWait(r.classIndex, expectedLatency)
+	if unqueued+wait <= timeLeft.Seconds() {
+		return wait >= g.waitLimit.at(g.now)
+	}
+	if 2*timeLeft >= r.class.Deadline { // with less of its class's time, a request says little about the others'
+		g.waitLimit.lower(g.now, wait)
+	}
+	return true
 }
 
 // mayWaitForCounter reports whether r can wait for the reply to a counter call: if none comes, the
--- a/internal/policy/deadline_test.go
+++ b/internal/policy/deadline_test.go
@@ -112,3 +112,37 @@
 		t.Errorf("%d of 100 requests admitted after the endpoints became fast again, want at least 95", admitted)
 	}
 }
+
+// Guards requests with little time against others with more: at the wait at which a request had to be
+// rejected, all are, for a while. Those that ask for very little time do not have that effect.
+func TestRequestsAreRejectedAtTheSameWait(t *testing.T) {
+	settings := testSettings()
+	settings.AllowHedging = false
+	const long = 1900 * ms
+	for _, test := range []struct {
+		timeout time.Duration // of the request that is rejected
+		limits  bool
+	}{{settings.Classes[0].Deadline / 2, true}, {100 * ms, false}} {
+		h := newHarness(t, settings, 2)
+		h.serveWithLatency(200, 100*ms)
+		receive := func(timeout time.Duration) []policy.StartAttempt {
+			_, actions := h.receiveEvent(policy.RequestReceived{Plan: 1, Tenant: 1, Timeout: timeout, Units: 1, TenantGateways: 3})
+			return startedAttempts(actions)
+		}
+		var queue []policy.StartAttempt
+		for range 30 {
+			queue = append(queue, receive(long)...)
+		}
+		if len(queue) != 30 || len(receive(test.timeout)) != 0 {
+			t.Fatalf("%d requests of 30 admitted with %v left, and the next one with %v; want all 30 and not that one", len(queue), long, test.timeout)
+		}
+		if admitted := len(receive(long)) == 1; admitted == test.limits {
+			t.Errorf("a request with %v left admitted: %v, after one with %v was rejected; want %v", long, admitted, test.timeout, !test.limits)
+		}
+		h.advance(1100*ms, replyWithTotal(0))
+		h.succeedAll(queue)
+		if len(receive(test.timeout+100*ms)) != 1 {
+			t.Errorf("a request rejected after the queue was served")
+		}
+	}
+}
--- a/internal/policy/gateway.go
+++ b/internal/policy/gateway.go
@@ -31,6 +31,7 @@
 	latencies    latencyEstimator
 	outliers     outlierDetector
 	throttle     throttle
+	waitLimit    waitLimit
 	balancer     balancer
 	retryBudget  retryBudget
 	hedgeLimiter hedgeLimiter
--- a/internal/policy/latency.go
+++ b/internal/policy/latency.go
@@ -99,12 +99,16 @@
 // Both are in seconds.
 func (e *latencyEstimator) likely(expected float64) float64 { return expected * e.likelyRatio }
 
-// withLikelyWait returns the latency of an answer with an expected latency if the wait for the work
-// ahead takes as long as it likely does at most, and the request itself as long as most do without a
-// queue. Both are in seconds.
-func (e *latencyEstimator) withLikelyWait(class int, expected float64) float64 {
-	unqueued := e.classes[class].unqueued * e.queuePosition(0)
-	return unqueued + e.likely(max(expected-unqueued, 0))
+// unqueuedLatency returns the expected latency in seconds of an attempt of a class while endpoints
+// have no queue.
+func (e *latencyEstimator) unqueuedLatency(class int) float64 {
+	return e.classes[class].unqueued * e.queuePosition(0)
+}
+
+// likelyWait returns the wait for the work ahead that an attempt with an expected latency probably
+// does not exceed. Both are in seconds.
+func (e *latencyEstimator) likelyWait(class int, expected float64) float64 {
+	return e.likely(max(expected-e.unqueuedLatency(class), 0))
 }
 
 // queuePosition estimates the position of a new attempt in an endpoint's queue from the
--- a/internal/policy/overload_sim_test.go
+++ b/internal/policy/overload_sim_test.go
@@ -47,7 +47,8 @@
 // overloadResult holds the requests of a day, by the phase in which they were sent.
 type overloadResult struct {
 	phases   [3]overloadCount
-	workDone time.Duration // in the middle phase, answered in time
+	pressed  [2]overloadCount // in the middle phase, by class
+	workDone time.Duration    // in the middle phase, answered in time
 }
 
 func (c *overloadCount) add(answer simAnswer) {
@@ -194,22 +195,29 @@
 	timeout := time.Duration(waits * float64(f.settings.Classes[class].Deadline))
 	spread := min(3, d.gateways)
 	gateway := f.gateways[(tenant+f.rng.IntN(spread))%d.gateways]
-	count := &result.phases[phase]
-	count.sent++
+	counts := []*overloadCount{&result.phases[phase]}
+	if phase == 1 {
+		counts = append(counts, &result.pressed[class])
+	}
+	for _, count := range counts {
+		count.sent++
+	}
 	event := policy.RequestReceived{Class: class, Plan: tenant % 3, Tenant: uint64(tenant + 1), Timeout: timeout,
 		Units: 1, TenantGateways: spread}
-	d.try(f, count, gateway, event, d.retries)
+	d.try(f, counts, gateway, event, d.retries)
 }
 
 // try sends a try of a request, and further ones if it is rejected. Only the last one is counted.
-func (d *overloadDay) try(f *simFleet, count *overloadCount, gateway *simGateway, event policy.RequestReceived, retries int) {
+func (d *overloadDay) try(f *simFleet, counts []*overloadCount, gateway *simGateway, event policy.RequestReceived, retries int) {
 	f.send(gateway, event, func(answer simAnswer) {
 		event.Timeout -= answer.latency + 2*simOneWayLatency
 		if answer.outcome != simRejected || retries == 0 || event.Timeout <= 0 {
-			count.add(answer)
+			for _, count := range counts {
+				count.add(answer)
+			}
 			return
 		}
-		f.After(2*simOneWayLatency, func() { d.try(f, count, gateway, event, retries-1) })
+		f.After(2*simOneWayLatency, func() { d.try(f, counts, gateway, event, retries-1) })
 	})
 }
 
@@ -247,3 +255,25 @@
 		}
 	}
 }
+
+// Guards against callers with much time who fill the queues until nobody with less time is served:
+// under overload each class gets at least three quarters of the mean share, over some days.
+func TestOverloadServesAllClasses(t *testing.T) {
+	const days = 5
+	for _, pressure := range []float64{2, 3} {
+		var sent, served [2]float64 // by class
+		for seed := range uint64(days) {
+			day := &overloadDay{gateways: 3, pressure: pressure, quota: 10, waitShare: 0.5, seed: seed}
+			for class, count := range day.run(t).pressed {
+				sent[class] += float64(count.sent)
+				served[class] += float64(count.served)
+			}
+		}
+		mean := (served[readClass] + served[bookClass]) / (sent[readClass] + sent[bookClass])
+		for class := range sent {
+			if got := served[class] / sent[class]; got < 0.75*mean {
+				t.Errorf("%v times the capacity: served %.3f of class %d, want at least %.3f", pressure, got, class, 0.75*mean)
+			}
+		}
+	}
+}
