--- a/internal/policy/deadline_test.go
+++ b/internal/policy/deadline_test.go
@@ -14,16 +14,14 @@
 		Latency: latency, RequestDone: true})
 }
 
-// serveWithLatency serves n requests of class 0, one after the other, each with the same latency.
-func (h *harness) serveWithLatency(n int, latency time.Duration) (served int) {
+// serveWithLatency serves n requests of a class, one after the other, each with the same latency.
+func (h *harness) serveWithLatency(n, class int, latency time.Duration) {
 	for range n {
-		_, actions := h.receive(0, 1, 1, 1)
+		_, actions := h.receive(class, 1, 1, 1)
 		for _, attempt := range startedAttempts(actions) {
 			h.answerAfter(latency, attempt)
-			served++
 		}
 	}
-	return served
 }
 
 // Guards the time that an attempt may take: all that the client has, whatever the class.
@@ -46,7 +44,7 @@
 	settings := testSettings()
 	settings.AllowHedging = false
 	h := newHarness(t, settings, 2)
-	h.serveWithLatency(200, 100*ms)
+	h.serveWithLatency(200, 0, 100*ms)
 	for range 10 { // work ahead: five requests at each endpoint
 		h.receive(0, 1, 1, 1)
 	}
@@ -67,7 +65,7 @@
 	settings := testSettings()
 	settings.AllowHedging = false
 	h := newHarness(t, settings, 4)
-	h.serveWithLatency(50, 20*ms)
+	h.serveWithLatency(50, 0, 20*ms)
 	id, actions := h.receive(0, 1, 1, 1)
 	first := startedAttempts(actions)[0]
 	h.advance(1500*ms, replyWithTotal(0))
@@ -82,7 +80,7 @@
 func TestHedgeDelayFollowsLatencies(t *testing.T) {
 	for _, latency := range []time.Duration{10 * ms, 100 * ms} {
 		h := newHarness(t, testSettings(), 4)
-		h.serveWithLatency(400, latency)
+		h.serveWithLatency(400, 0, latency)
 		h.receive(0, 1, 1, 1)
 		if attempts := startedAttempts(h.advance(latency, replyWithTotal(0))); len(attempts) > 0 {
 			t.Errorf("answers take %v: hedged within that time", latency)
@@ -99,7 +97,7 @@
 	settings := testSettings()
 	settings.AllowHedging = false
 	h := newHarness(t, settings, 4)
-	h.serveWithLatency(100, 1900*ms)
+	h.serveWithLatency(100, 0, 1900*ms)
 	admitted := 0
 	for range 100 {
 		_, actions := h.receiveEvent(policy.RequestReceived{Plan: 1, Tenant: 1, Timeout: 500 * ms, Units: 1, TenantGateways: 3})
@@ -124,7 +122,7 @@
 		limits  bool
 	}{{settings.Classes[0].Deadline / 2, true}, {100 * ms, false}} {
 		h := newHarness(t, settings, 2)
-		h.serveWithLatency(200, 100*ms)
+		h.serveWithLatency(200, 0, 100*ms)
 		receive := func(timeout time.Duration) []policy.StartAttempt {
 			_, actions := h.receiveEvent(policy.RequestReceived{Plan: 1, Tenant: 1, Timeout: timeout, Units: 1, TenantGateways: 3})
 			return startedAttempts(actions)
@@ -146,3 +144,32 @@
 		}
 	}
 }
+
+// Guards the others against a class whose requests take most of their time without any queue: that
+// these are rejected is not due to the queue.
+func TestTightClassDoesNotLimitTheWait(t *testing.T) {
+	settings := testSettings()
+	settings.AllowHedging = false
+	settings.Classes[2].Deadline = 110 * ms
+	h := newHarness(t, settings, 2)
+	h.serveWithLatency(200, 0, 100*ms)
+	h.serveWithLatency(200, 2, 100*ms)
+	receive := func(class int, timeout time.Duration) bool {
+		_, actions := h.receiveEvent(policy.RequestReceived{Class: class, Plan: 1, Tenant: 1, Timeout: timeout, Units: 1, TenantGateways: 3})
+		return len(startedAttempts(actions)) == 1
+	}
+	receive(2, 110*ms)
+	receive(0, time.Second)
+	rejected := 0
+	for range 10 {
+		if !receive(2, 110*ms) {
+			rejected++
+		}
+	}
+	if rejected == 0 {
+		t.Error("no request with 110 ms left rejected behind others that take 100 ms, want some")
+	}
+	if !receive(0, 1900*ms) {
+		t.Error("a request with 1.9 s left rejected because others with 110 ms were")
+	}
+}
--- a/internal/policy/throttle_test.go
+++ b/internal/policy/throttle_test.go
@@ -105,7 +105,7 @@
 	settings := testSettings()
 	settings.AllowHedging, settings.MaxAttempts = false, 1
 	h := newHarness(t, settings, 10)
-	h.serveWithLatency(100, 20*ms)
+	h.serveWithLatency(100, 0, 20*ms)
 	forwarded := make([]int, outage+recovery+1) // by second
 	for i := range rate * len(forwarded) {
 		h.advance(time.Second/rate, replyWithTotal(0))
