--- a/internal/policy/deadline.go
+++ b/internal/policy/deadline.go
@@ -45,7 +45,7 @@
 	if unqueued+wait <= timeLeft.Seconds() {
 		return wait >= g.waitLimit.at(g.now)
 	}
-	if wait > unqueued && 2*timeLeft >= r.class.Deadline {
+	if wait > 3*unqueued && 2*timeLeft >= r.class.Deadline {
 		g.waitLimit.lower(g.now, wait)
 	}
 	return true
