--- a/internal/policy/deadline.go
+++ b/internal/policy/deadline.go
@@ -5,12 +5,18 @@
 	"time"
 )
 
-// crowdedPeriod is how long all requests are rejected at a wait at which one had to be.
-const crowdedPeriod = time.Second
+const (
+	crowdedPeriod = time.Second // for this long all requests are rejected at a wait at which one had to be
+	crowdedWait   = 3.0         // least wait for that, in latencies without a queue; shorter ones are usual fluctuations
+)
 
 // waitLimit is the longest wait at endpoints for which requests are admitted. Endpoints serve in the
 // order of arrival, so requests with much time left would fill the queue until no other request has
 // the time to wait for its turn. At the wait at which a request must be rejected, all are rejected.
+//
+// Only rejections that are due to the queue count: the request has at least half of its class's
+// deadline left, and the wait is much longer than the request would take without a queue. One that
+// hardly has the time for its own work says nothing about the others.
 type waitLimit struct {
 	limit float64 // seconds
 	until Time    // when the limit ends
@@ -45,7 +51,7 @@
 	if unqueued+wait <= timeLeft.Seconds() {
 		return wait >= g.waitLimit.at(g.now)
 	}
-	if wait > 3*unqueued && 2*timeLeft >= r.class.Deadline {
+	if wait > crowdedWait*unqueued && 2*timeLeft >= r.class.Deadline {
 		g.waitLimit.lower(g.now, wait)
 	}
 	return true
