policy: a recovery trial begins when its attempt starts

Callers saw: an endpoint that served again could stay without requests until its process or the gateway's restarted, whenever requests with little time left came in.

Change: pick has no such effect any more; startAttempt marks the trial. What is decided between the two no longer matters, so the throttle's comment on the order is gone.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -18,7 +18,8 @@
 const MaxBodyBytes = 64 << 10
 
 // Settings is the settings object. Other keys are ignored, among them the prices, the worth of
-// requests and the latency that is aimed at, on which no decision depends. In JSON, durations are integers in nanoseconds.
+// requests and the latency that is aimed at, on which no decision depends. In JSON, durations are
+// integers in nanoseconds.
 type Settings struct {
 	Gateways      int           `json:"nInstances"`
 	GatewayIndex  int           `json:"rank"`
--- a/internal/policy/attempt.go
+++ b/internal/policy/attempt.go
@@ -11,6 +11,9 @@
 		isTrial:         ep.ejected,
 	})
 	g.latencies.classes[r.classIndex].inFlight++
+	if g.balancer.isOutlier(ep) {
+		ep.startTrial()
+	}
 	g.throttle.attemptStarted(g.now)
 	ep.attemptStarted(g.now)
 	ep.inFlight++
--- a/internal/policy/balancer.go
+++ b/internal/policy/balancer.go
@@ -55,7 +55,7 @@
 // pick returns the endpoint for the next attempt of r and its expected latency in seconds. It
 // is the candidate with the best score, or one that is warming up or due for a recovery trial;
 // the expected latency of a recovery trial is given as 0. It returns nil if no endpoint can
-// take the attempt.
+// take the attempt. The trial begins when the attempt starts.
 func (b *balancer) pick(now Time, r *request) (*endpoint, float64) {
 	listed, healthy := b.ejectOutliers(now)
 	s := candidateSelection{
@@ -71,8 +71,7 @@
 		s.best = s.warmingUp
 		s.bestLatency = b.latencies.expected(now, s.warmingUp, r.classIndex)
 	}
-	if s.best != nil && s.best.ejected && s.honorEjections {
-		s.best.startTrial()
+	if s.best != nil && b.isOutlier(s.best) {
 		s.bestLatency = 0
 	}
 	return s.best, s.bestLatency
--- a/internal/policy/outlier_test.go
+++ b/internal/policy/outlier_test.go
@@ -164,3 +164,35 @@
 		}
 	}
 }
+
+// Guards against endpoints that stay ejected for good: a request that is rejected for lack of time
+// after the choice of an endpoint must not count as a recovery trial.
+func TestRejectedRequestIsNoRecoveryTrial(t *testing.T) {
+	const hangsUntil, steps = 600, 1500
+	for seed := range uint64(10) {
+		settings := testSettings()
+		settings.MaxAttempts, settings.Seed = 1, seed
+		h := newHarness(t, settings, 4)
+		recovered := 0
+		for i := range steps {
+			h.advance(10*ms, replyWithTotal(0))
+			id, actions := h.receive(0, 1, 1, 1)
+			h.advance(10*ms, replyWithTotal(0))
+			_, rejected := h.receiveEvent(policy.RequestReceived{Plan: 1, Tenant: 1, Timeout: ms, Units: 1, TenantGateways: 3})
+			h.succeedAll(startedAttempts(rejected))
+			for _, attempt := range startedAttempts(actions) {
+				if attempt.Endpoint == "s1" && i < hangsUntil {
+					h.step(policy.AttemptEnded{RequestID: id, Endpoint: "s1", Outcome: policy.TimedOut, Latency: time.Second})
+					continue
+				}
+				h.succeed(id, attempt)
+				if attempt.Endpoint == "s1" {
+					recovered++
+				}
+			}
+		}
+		if recovered < 50 {
+			t.Errorf("seed %d: %d attempts at one of 4 endpoints that all serve again, of %d requests; want at least 50", seed, recovered, steps-hangsUntil)
+		}
+	}
+}
--- a/internal/policy/throttle.go
+++ b/internal/policy/throttle.go
@@ -34,8 +34,7 @@
 }
 
 // shouldShed reports whether to shed a request: at random while too few attempts are answered in
-// time. It is called before an endpoint is chosen, as the choice may begin a recovery trial. Shed
-// requests do not count as failures, or refusals would go on long after their cause.
+// time. Shed requests do not count as failures, or refusals would go on long after their cause.
 func (t *throttle) shouldShed(now Time) bool {
 	t.record(now, 0, 0)
 	excess := t.expected - maxStartedPerSuccess*t.succeeded - ignoredFailures
