--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -166,8 +166,8 @@
 	return f.judgeDrain(f.servers[0], changedAt, end)
 }
 
-// playCrowdedDiscovery: all watches are reset, then a booking server begins to drain while
-// discovery turns some of the calls away.
+// playCrowdedDiscovery: a new configuration moves discovery, and a booking server begins to drain
+// while discovery turns some of the calls away.
 func playCrowdedDiscovery(l *lab) int {
 	const callsPerSecond = 15
 	d := &deployment{nodes: 80, discoveryMode: "ask", drainGrace: 250 * time.Millisecond, customerSpread: 2}
@@ -179,8 +179,10 @@
 	time.Sleep(8 * time.Second)
 	if l.trouble {
 		f.discovery.crowd(callsPerSecond, 4*time.Second)
-		f.discoveryAt.resetConns()
-		l.record("all watches are reset; discovery answers %d calls a second for 4 s and turns the others away", callsPerSecond)
+		l.record("discovery answers %d calls a second for 4 s and turns the others away", callsPerSecond)
+		if err := f.newConfiguration(); err != nil {
+			return l.cannotRun("%v", err)
+		}
 	}
 	time.Sleep(100 * time.Millisecond)
 	changedAt := time.Now()
--- a/review/lab-2/discovery.go
+++ b/review/lab-2/discovery.go
@@ -73,9 +73,6 @@
 type address struct {
 	listener net.Listener
 	server   *http.Server
-
-	mu    sync.Mutex
-	conns map[net.Conn]bool
 }
 
 // openAddress serves a handler at a new loopback address.
@@ -84,23 +81,11 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &address{listener: listener, conns: map[net.Conn]bool{}}
-	a.server = &http.Server{Handler: handler, ConnState: a.connState}
+	a := &address{listener: listener, server: &http.Server{Handler: handler}}
 	go a.server.Serve(listener)
 	return a, nil
 }
 
-func (a *address) connState(conn net.Conn, state http.ConnState) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		a.conns[conn] = true
-	case http.StateClosed, http.StateHijacked:
-		delete(a.conns, conn)
-	}
-}
-
 func (a *address) String() string { return a.listener.Addr().String() }
 
 // leave takes no new connection from now on and closes the open ones after a while.
@@ -109,18 +94,6 @@
 	time.AfterFunc(after, func() { a.server.Close() })
 }
 
-// resetConns resets all open connections.
-func (a *address) resetConns() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for conn := range a.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		conn.Close()
-	}
-}
-
 // setLifecycle changes the state of an instance and notifies the watches.
 func (d *discovery) setLifecycle(id, lifecycle string) {
 	d.mu.Lock()
