Review: case 6, a second copy shifts answers to other callers and runs a POST twice

Cause: a connection to a booking server is used again after 25 ms of silence; a second copy that the system holds back comes just behind the next request and is taken for its answer.

--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -113,7 +113,7 @@
 // playSlowDiscovery: discovery becomes slow, then a booking server begins to drain.
 func playSlowDiscovery(l *lab) int {
 	const slowAnswer = 3 * time.Second
-	d := &deployment{nodes: 3, discoveryMode: "ask", drainGrace: 2 * time.Second, customerSpread: 2}
+	d := &deployment{nodes: 3, discoveryMode: "ask", drainGrace: 2 * time.Second, customerSpread: 2, customersPerNode: 4, connsPerNode: 8}
 	f, err := l.startFleet(d, 6, 10*time.Millisecond)
 	if err != nil {
 		return l.cannotRun("%v", err)
@@ -137,7 +137,7 @@
 func playNewAddresses(l *lab) int {
 	const configurations = 5
 	const between = 1500 * time.Millisecond
-	d := &deployment{nodes: 80, discoveryMode: "ask", drainGrace: 250 * time.Millisecond, customerSpread: 2}
+	d := &deployment{nodes: 80, discoveryMode: "ask", drainGrace: 250 * time.Millisecond, customerSpread: 2, customersPerNode: 4, connsPerNode: 8}
 	f, err := l.startFleet(d, 6, 5*time.Millisecond)
 	if err != nil {
 		return l.cannotRun("%v", err)
@@ -170,7 +170,7 @@
 // while discovery turns some of the calls away.
 func playCrowdedDiscovery(l *lab) int {
 	const callsPerSecond = 15
-	d := &deployment{nodes: 80, discoveryMode: "ask", drainGrace: 250 * time.Millisecond, customerSpread: 2}
+	d := &deployment{nodes: 80, discoveryMode: "ask", drainGrace: 250 * time.Millisecond, customerSpread: 2, customersPerNode: 4, connsPerNode: 8}
 	f, err := l.startFleet(d, 6, 5*time.Millisecond)
 	if err != nil {
 		return l.cannotRun("%v", err)
@@ -221,7 +221,7 @@
 
 // playShortLength: one booking server sends some answers whose lengths don't fit.
 func playShortLength(l *lab) int {
-	d := &deployment{nodes: 1, discoveryMode: "push", drainGrace: 2 * time.Second, customerSpread: 1}
+	d := &deployment{nodes: 1, discoveryMode: "push", drainGrace: 2 * time.Second, customerSpread: 1, customersPerNode: 4, connsPerNode: 8}
 	f, err := l.startFleet(d, 3, 10*time.Millisecond)
 	if err != nil {
 		return l.cannotRun("%v", err)
--- a/review/lab-2/client.go
+++ b/review/lab-2/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,10 +21,11 @@
 	noAnswer int
 	wrong    []string // descriptions of answers 200 with another body than the one made for the request
 	nodeByID map[string]string
+	booked   map[string]int // status of the answer to each request of the class book-lesson; 0: none so far
 }
 
 func newOutcomeCounts() *outcomeCounts {
-	return &outcomeCounts{byStatus: map[int]int{}, nodeByID: map[string]string{}}
+	return &outcomeCounts{byStatus: map[int]int{}, nodeByID: map[string]string{}, booked: map[string]int{}}
 }
 
 func (c *outcomeCounts) summary() string {
@@ -33,9 +35,12 @@
 }
 
 // begin counts a request that is about to be sent.
-func (c *outcomeCounts) begin(id, node string) {
+func (c *outcomeCounts) begin(id, node string, isBooking bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if isBooking {
+		c.booked[id] = 0
+	}
 	c.sent++
 	c.nodeByID[id] = node
 }
@@ -49,6 +54,9 @@
 		return
 	}
 	c.byStatus[status]++
+	if _, isBooking := c.booked[id]; isBooking {
+		c.booked[id] = status
+	}
 	if made := bodyFor(id); status == http.StatusOK && body != made {
 		c.wrong = append(c.wrong, fmt.Sprintf("%s %s: the client got 200 with %d bytes %q, the server made %d bytes %q",
 			node, id, len(body), body, len(made), made))
@@ -60,9 +68,6 @@
 	answerSlack     = 500 * time.Millisecond // an answer may come this long after the client's time
 )
 
-// customersPerNode limits what one customer asks to well below its quota.
-const customersPerNode = 4
-
 // client sends requests to one edge node, one at a time on each connection, until stop is closed.
 type client struct {
 	node   *node
@@ -108,7 +113,7 @@
 // newRequest returns the id and the text of a request, and how long its client waits.
 func (c *client) newRequest() (id, text string, wait time.Duration) {
 	id = fmt.Sprintf("%016x", rand.Uint64())
-	customer := c.node.rank*customersPerNode + c.number%customersPerNode
+	customer := c.node.rank*c.node.deployment.customersPerNode + c.number%c.node.deployment.customersPerNode
 	head := fmt.Sprintf("Host: api.internal\r\nX-Trace-Id: %s\r\nApi-Plan: institutional\r\nApi-Customer: %016x\r\n"+
 		"Api-Terms: units=1,spread=%d,first=%d\r\n", id, 0xb4d60000+customer, c.node.deployment.customerSpread, c.node.rank)
 	if rand.Float64() < bookLessonShare {
@@ -124,7 +129,7 @@
 // on a new one. It returns the connection if it can carry another request, else nil.
 func (c *client) request(conn *clientConn) *clientConn {
 	id, text, wait := c.newRequest()
-	c.counts.begin(id, c.node.name())
+	c.counts.begin(id, c.node.name(), strings.HasPrefix(text, http.MethodPost))
 	for {
 		reused := conn != nil && conn.used
 		if conn == nil {
@@ -180,12 +185,12 @@
 
 // startClients lets clients send to each of the nodes at a rate. The result ends them.
 func startClients(nodes []*node, counts *outcomeCounts, perSecond float64) (stopAll func()) {
-	const connsPerNode = 8
 	stop := make(chan struct{})
 	var running sync.WaitGroup
 	for _, n := range nodes {
-		for number := range connsPerNode {
-			c := &client{node: n, counts: counts, every: time.Duration(connsPerNode / perSecond * float64(time.Second)), number: number}
+		for number := range n.deployment.connsPerNode {
+			every := time.Duration(float64(n.deployment.connsPerNode) / perSecond * float64(time.Second))
+			c := &client{node: n, counts: counts, every: every, number: number}
 			running.Go(func() { c.run(stop) })
 		}
 	}
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -32,6 +32,7 @@
 	"new-addresses":     playNewAddresses,
 	"crowded-discovery": playCrowdedDiscovery,
 	"short-length":      playShortLength,
+	"second-copy":       playSecondCopy,
 }
 
 func main() {
--- a/review/lab-2/node.go
+++ b/review/lab-2/node.go
@@ -24,6 +24,9 @@
 	counterAddr    string
 	known          list // of the configuration
 	customerSpread int
+	// Each customer stays well below its quota of 25 units a second.
+	customersPerNode int
+	connsPerNode     int // of clients to each node
 }
 
 // settings returns the settings object: those of a small deployment with two classes and one plan.
--- a/review/lab-2/server.go
+++ b/review/lab-2/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,6 +28,19 @@
 	// answerText returns the text of the answer with a body, and whether the connection is of
 	// further use.
 	answerText func(req *http.Request, body string) (text string, usable bool)
+	// repeatAfter returns how long after an answer a second copy of it follows; 0: none does.
+	repeatAfter func() time.Duration
+	onRepeat    func(id string, answeredAt, repeatedAt time.Time, next string, nextAt time.Time)
+	ran         map[string]int // how often each request ran
+}
+
+// setRepeat makes second copies follow answers. onRepeat is told of each request that comes next on
+// the connection.
+func (s *bookingServer) setRepeat(after func() time.Duration, onRepeat func(string, time.Time, time.Time, string, time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.repeatAfter = after
+	s.onRepeat = onRepeat
 }
 
 // setAnswerText replaces answerText.
@@ -51,7 +65,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &bookingServer{id: id, listener: listener, work: work, answerText: goodAnswer}
+	s := &bookingServer{id: id, listener: listener, work: work, answerText: goodAnswer,
+		repeatAfter: func() time.Duration { return 0 }, ran: map[string]int{}}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -80,10 +95,19 @@
 	return servers, instances, nil
 }
 
-// serve answers the requests on one connection.
+// repeat is an answer that was followed by a second copy.
+type repeat struct {
+	id                     string
+	answeredAt, repeatedAt time.Time
+}
+
+// serve answers the requests on one connection. The system may hold small writes back, as it does
+// by default (Go turns that off unless told otherwise).
 func (s *bookingServer) serve(conn net.Conn) {
 	defer conn.Close()
+	conn.(*net.TCPConn).SetNoDelay(false)
 	reader := bufio.NewReader(conn)
+	var last *repeat
 	for {
 		if _, err := reader.Peek(1); err != nil {
 			return
@@ -103,10 +127,20 @@
 		}
 		s.mu.Lock()
 		s.sends = append(s.sends, send{at: at, id: id})
-		answerText := s.answerText
+		answerText, repeatAfter, onRepeat := s.answerText, s.repeatAfter, s.onRepeat
 		s.mu.Unlock()
+		if last != nil {
+			onRepeat(last.id, last.answeredAt, last.repeatedAt, id, at)
+			last = nil
+		}
 		time.Sleep(s.work)
 		text, usable := answerText(req, bodyFor(id))
+		if !strings.Contains(text, neverRan) {
+			s.mu.Lock()
+			s.ran[id]++
+			s.mu.Unlock()
+		}
+		answeredAt := time.Now()
 		if _, err := io.WriteString(conn, text); err != nil {
 			return
 		}
@@ -114,9 +148,19 @@
 			io.Copy(io.Discard, conn) // the connection stays open, but nothing on it is answered
 			return
 		}
+		if delay := repeatAfter(); delay > 0 {
+			time.Sleep(delay)
+			last = &repeat{id: id, answeredAt: answeredAt, repeatedAt: time.Now()}
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+		}
 	}
 }
 
+// neverRan is the field of an answer that says that the request was not run.
+const neverRan = "X-Never-Ran: 1"
+
 // sendsBetween returns the requests whose first byte came after from and not after to.
 func (s *bookingServer) sendsBetween(from, to time.Time) []send {
 	s.mu.Lock()
