--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -57,8 +57,10 @@
 	if discoveryAt, err = openAddress(f.discovery); err != nil {
 		return nil, nil, err
 	}
-	counterAt, err = openAddress(f.counter)
-	return discoveryAt, counterAt, err
+	if counterAt, err = openAddress(f.counter); err != nil {
+		return nil, nil, err
+	}
+	return discoveryAt, counterAt, nil
 }
 
 // newConfiguration moves discovery and the counter to new addresses and tells all nodes by SIGHUP.
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -69,6 +69,8 @@
 	trouble bool   // the disruption takes place
 	began   time.Time
 
+	addresses map[string]bool // given to edge nodes
+
 	mu     sync.Mutex
 	file   *os.File
 	nodes  []*node
@@ -84,7 +86,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{root: root, dir: dir, file: file, began: time.Now(), trouble: os.Getenv("TROUBLE") != troubleOff}
+	l := &lab{root: root, dir: dir, file: file, began: time.Now(), trouble: os.Getenv("TROUBLE") != troubleOff,
+		addresses: map[string]bool{}}
 	l.record("trouble: %v", l.trouble)
 	return l, nil
 }
--- a/review/lab-2/node.go
+++ b/review/lab-2/node.go
@@ -74,7 +74,7 @@
 
 // startNode starts an edge node with the command of the deploy file.
 func (l *lab) startNode(d *deployment, rank int) (*node, error) {
-	address, err := freeAddress()
+	address, err := l.freeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -179,12 +179,22 @@
 	<-n.ended
 }
 
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddress returns an address for an edge node that nobody listens on and that it has not
+// returned before. The address is on a loopback address of this process, so that neither the
+// connections of the stand-ins and clients nor another case can take its port meanwhile.
+func (l *lab) freeAddress() (string, error) {
+	pid := os.Getpid()
+	own := fmt.Sprintf("127.%d.%d.%d", 16+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
+	for {
+		listener, err := net.Listen("tcp", net.JoinHostPort(own, "0"))
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		listener.Close()
+		if !l.addresses[address] {
+			l.addresses[address] = true
+			return address, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
