--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -137,9 +137,9 @@
 
 // playNewAddresses: a booking server begins to drain while new configurations follow each other.
 func playNewAddresses(l *lab) int {
-	const configurations = 5
+	const configurations = 6
 	const between = 1500 * time.Millisecond
-	d := &deployment{nodes: 80, discoveryMode: "ask", drainGrace: 250 * time.Millisecond, customerSpread: 2, customersPerNode: 4, connsPerNode: 8}
+	d := &deployment{nodes: 100, discoveryMode: "ask", drainGrace: 2 * time.Second, customerSpread: 2, customersPerNode: 4, connsPerNode: 8}
 	f, err := l.startFleet(d, 6, 5*time.Millisecond)
 	if err != nil {
 		return l.cannotRun("%v", err)
@@ -162,7 +162,7 @@
 			}
 		}
 	}
-	time.Sleep(time.Until(changedAt.Add(12 * time.Second)))
+	time.Sleep(time.Until(changedAt.Add(13 * time.Second)))
 	end := time.Now()
 	stop()
 	return f.judgeDrain(f.servers[0], changedAt, end)
