--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -172,16 +172,16 @@
 // while discovery turns some of the calls away.
 func playCrowdedDiscovery(l *lab) int {
 	const callsPerSecond = 15
-	d := &deployment{nodes: 80, discoveryMode: "ask", drainGrace: 250 * time.Millisecond, customerSpread: 2, customersPerNode: 4, connsPerNode: 8}
-	f, err := l.startFleet(d, 6, 5*time.Millisecond)
+	d := &deployment{nodes: 100, discoveryMode: "ask", drainGrace: 250 * time.Millisecond, customerSpread: 2, customersPerNode: 4, connsPerNode: 8}
+	f, err := l.startFleet(d, 4, 5*time.Millisecond)
 	if err != nil {
 		return l.cannotRun("%v", err)
 	}
-	stop := startClients(f.nodes, f.counts, 12)
+	stop := startClients(f.nodes, f.counts, 20)
 	time.Sleep(8 * time.Second)
 	if l.trouble {
 		f.discovery.crowd(callsPerSecond, 4*time.Second)
-		l.record("discovery answers %d calls a second for 4 s and turns the others away", callsPerSecond)
+		l.record("discovery answers %d calls a second for 4 s, without those that carry a watch on, and turns the others away", callsPerSecond)
 		if err := f.newConfiguration(); err != nil {
 			return l.cannotRun("%v", err)
 		}
--- a/review/lab-2/discovery.go
+++ b/review/lab-2/discovery.go
@@ -33,24 +33,29 @@
 type discovery struct {
 	lab *lab
 
-	mu        sync.Mutex
-	list      list
-	changedAt map[string]int64 // generation of the last change of each instance
-	changed   chan struct{}    // closed at the next change
-	delay     time.Duration    // every answer is written this much later
-	capacity  *turnAway        // nil: no call is turned away
+	mu         sync.Mutex
+	list       list
+	changedAt  map[string]int64     // generation of the last change of each instance
+	answeredAt map[string]time.Time // last answer on each connection, by its remote address
+	changed    chan struct{}        // closed at the next change
+	delay      time.Duration        // every answer is written this much later
+	capacity   *turnAway            // nil: no call is turned away
 }
 
-// turnAway lets a number of calls a second through.
+// watchGap: a watch carries on as long as the next call comes within 200 ms of the last answer.
+const watchGap = 200 * time.Millisecond
+
+// turnAway lets a number of calls a second through. Calls that carry a watch on are not counted.
 type turnAway struct {
 	interval time.Duration
 	until    time.Time
 	next     time.Time
 }
 
-// allows reports whether a call is answered now.
-func (c *turnAway) allows(now time.Time) bool {
-	if now.After(c.until) {
+// allows reports whether a call is answered now. answeredAt is when the last answer on its
+// connection was written.
+func (c *turnAway) allows(now, answeredAt time.Time) bool {
+	if now.After(c.until) || now.Sub(answeredAt) <= watchGap {
 		return true
 	}
 	if now.Before(c.next) {
@@ -62,7 +67,7 @@
 
 func newDiscovery(l *lab, instances []instance) *discovery {
 	d := &discovery{lab: l, list: list{Generation: 41, Reset: true, Instances: instances},
-		changedAt: map[string]int64{}, changed: make(chan struct{})}
+		changedAt: map[string]int64{}, answeredAt: map[string]time.Time{}, changed: make(chan struct{})}
 	for _, entry := range instances {
 		d.changedAt[entry.ID] = 41
 	}
@@ -144,7 +149,7 @@
 	fullList := err != nil
 	wait, _ := strconv.Atoi(query.Get("wait"))
 	d.mu.Lock()
-	turnedAway := d.capacity != nil && !d.capacity.allows(time.Now())
+	turnedAway := d.capacity != nil && !d.capacity.allows(time.Now(), d.answeredAt[req.RemoteAddr])
 	d.mu.Unlock()
 	if turnedAway {
 		d.lab.record("discovery turns away a call %s from %s", req.URL.RawQuery, req.RemoteAddr)
@@ -169,6 +174,9 @@
 		}
 		return
 	}
+	d.mu.Lock()
+	d.answeredAt[req.RemoteAddr] = time.Now()
+	d.mu.Unlock()
 	text, _ := json.Marshal(answer)
 	w.Header().Set("Content-Type", "application/json")
 	w.Write(text)
