upstream: a response whose length does not fit its body has failed

Cause: Exchange took a body as complete where its Content-Length ended and used the bytes behind it only to keep the connection from being reused. Of a response with both a Content-Length and chunked encoding net/http drops the length, and nobody compared it with the body.

Change: package httpresponse reads heads and keeps their text, so that a response that states its length twice, or in a form that net/http ignores, fails. After a response the data behind it is looked at, also what the kernel holds: a second copy of the same response is harmless, anything else may be the rest of the body, and the attempt has failed and may have run. Nothing waits for that data; a rest that arrives after the response was forwarded is not seen. The cost: a good response with noise behind it that has arrived by then now fails as well; the two can't be told apart. One recv(2) more for each response.

Without the change in exchange.go and conn.go 13 of the 15 rows of TestResponseWithWrongLengthIsNoSuccess fail, all but the two on copies, which must keep succeeding.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,12 +1,12 @@
 package upstream
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"syscall"
 	"time"
 
+	"swiftpitch/internal/httpresponse"
 	"swiftpitch/internal/socket"
 )
 
@@ -20,7 +20,7 @@
 	endpoint  *Endpoint
 	process   Process          // process to which it leads; the endpoint's may have changed since
 	limit     io.LimitedReader // limits the size of a response
-	reader    *bufio.Reader
+	reader    *httpresponse.Reader
 	idleSince time.Time // zero: never idle so far
 }
 
@@ -29,7 +29,7 @@
 func NewConn(netConn net.Conn, endpoint *Endpoint, process Process) *Conn {
 	c := &Conn{Conn: netConn, endpoint: endpoint, process: process}
 	c.limit.R = socket.Reader{Reader: netConn}
-	c.reader = bufio.NewReaderSize(&c.limit, readBufferSize)
+	c.reader = httpresponse.NewReader(&c.limit, readBufferSize)
 	return c
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -8,7 +9,9 @@
 
 	"swiftpitch/internal/config"
 	"swiftpitch/internal/decimal"
+	"swiftpitch/internal/httpresponse"
 	"swiftpitch/internal/policy"
+	"swiftpitch/internal/socket"
 )
 
 const (
@@ -17,17 +20,17 @@
 	maxResponseHeadBytes = 32 << 10
 	// maxBodyBytes limits a response's body in bytes.
 	maxBodyBytes = config.MaxBodyBytes
+	// minCopyBytes is the least part of a response's copy that is recognized, in bytes. The end of a
+	// body hardly has as many in common with a head.
+	minCopyBytes = len("HTTP/1.1 200")
 	// UnreservedBodyBytes is how much of a response's body is read without a reservation.
 	UnreservedBodyBytes = 4 << 10
-	// maxInterimResponses limits the 1xx responses that precede the final one.
-	maxInterimResponses = 8
 )
 
 var (
-	errTooManyInterimResponses = errors.New("too many interim (1xx) responses")
-	errBodyTooLong             = errors.New("response body too long")
-	errNoMemory                = errors.New("no memory for the response body")
-	errUnframedHTTP10          = errors.New("HTTP/1.0 response without Content-Length: its Transfer-Encoding, if any, is not decoded")
+	errBodyTooLong    = errors.New("response body too long")
+	errNoMemory       = errors.New("no memory for the response body")
+	errUnframedHTTP10 = errors.New("HTTP/1.0 response without Content-Length: its Transfer-Encoding, if any, is not decoded")
 )
 
 // Response is the result of an exchange.
@@ -65,8 +68,15 @@
 	if err != nil {
 		return Response{Outcome: policy.ConnectionLost}
 	}
+	following, err := c.dataFollowing(head)
+	if err != nil {
+		return Response{Outcome: policy.ConnectionLost}
+	}
+	if len(following) > 0 && !c.isCopyOfResponse(following, head, body) {
+		return Response{Outcome: policy.ConnectionLost} // the body may be longer than its stated length
+	}
 	response := classify(head, body)
-	response.Reusable = !head.Close && c.reader.Buffered() == 0
+	response.Reusable = !head.Close && len(following) == 0
 	return response
 }
 
@@ -81,34 +91,20 @@
 	return written >= length, err
 }
 
-// readHead skips interim responses and reads the head of the final response.
+// readHead reads the head of the final response.
 func (c *Conn) readHead() (*http.Response, error) {
-	head, err := http.ReadResponse(c.reader, nil)
-	for interim := 0; err == nil && isInterim(head) && interim < maxInterimResponses; interim++ {
-		head, err = http.ReadResponse(c.reader, nil)
-	}
+	head, err := c.reader.ReadHead()
 	switch {
 	case err != nil:
 		return nil, err
-	case isInterim(head):
-		return nil, errTooManyInterimResponses
 	case head.ContentLength > maxBodyBytes:
 		return nil, errBodyTooLong
-	case isUnframed(head) && !head.ProtoAtLeast(1, 1):
+	case httpresponse.IsUnframed(head) && !head.ProtoAtLeast(1, 1):
 		return nil, errUnframedHTTP10
 	}
 	return head, nil
 }
 
-// isInterim reports whether a response is interim (1xx), so that another one follows.
-func isInterim(head *http.Response) bool { return head.StatusCode < http.StatusOK }
-
-// isUnframed reports whether a response has neither a length nor chunked encoding, so that its
-// body ends with the connection.
-func isUnframed(head *http.Response) bool {
-	return head.ContentLength < 0 && len(head.TransferEncoding) == 0
-}
-
 // readBody reads a response's body completely. An unframed body is complete if the endpoint
 // closes the connection in order; a reset is a read error.
 func (c *Conn) readBody(head *http.Response, reserve ReserveMemory) ([]byte, error) {
@@ -129,7 +125,7 @@
 			return nil, err
 		}
 	}
-	limitReached := isUnframed(head) && c.limit.N <= 0 // the connection may not have ended there
+	limitReached := httpresponse.IsUnframed(head) && c.limit.N <= 0 // the connection may not have ended there
 	if len(body) > maxBodyBytes || limitReached {
 		return nil, errBodyTooLong
 	}
@@ -154,6 +150,31 @@
 	return body, nil
 }
 
+// dataFollowing returns the data behind a response that has arrived so far. It does not block.
+func (c *Conn) dataFollowing(head *http.Response) ([]byte, error) {
+	following := c.reader.Following()
+	if len(following) > 0 || httpresponse.IsUnframed(head) || socket.Peek(c.Conn) != socket.Readable {
+		return following, nil
+	}
+	if err := c.reader.Wait(); err != nil { // the kernel holds data, so this does not block
+		return nil, err
+	}
+	return c.reader.Following(), nil
+}
+
+// isCopyOfResponse reports whether the data behind a response is a second copy of it, as far as it
+// has arrived. Anything else may be the rest of the response's body.
+func (c *Conn) isCopyOfResponse(following []byte, head *http.Response, body []byte) bool {
+	rest, hasHead := bytes.CutPrefix(following, c.reader.HeadText())
+	if !hasHead {
+		return len(following) >= minCopyBytes && bytes.HasPrefix(c.reader.HeadText(), following)
+	}
+	if head.ContentLength < 0 {
+		return true
+	}
+	return bytes.HasPrefix(rest, body) || bytes.HasPrefix(body, rest)
+}
+
 // classify returns the result of an exchange whose HTTP response is complete.
 func classify(head *http.Response, body []byte) Response {
 	response := Response{
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -45,7 +45,7 @@
 		{"succeeded, chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", policy.Succeeded, true},
 		{"succeeded, connection closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello", policy.Succeeded, false},
 		{"succeeded after 1xx", "HTTP/1.1 103 Early Hints\r\n\r\n" + testsupport.OKResponse, policy.Succeeded, true},
-		{"too many 1xx", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2*maxInterimResponses) + testsupport.OKResponse, policy.ConnectionLost, false},
+		{"too many 1xx", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 16) + testsupport.OKResponse, policy.ConnectionLost, false},
 		{"response followed by another", testsupport.OKResponse + testsupport.OKResponse, policy.Succeeded, false},
 		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", policy.ServerError, true},
 		{"503 with X-Never-Ran", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n", policy.Overloaded, true},
@@ -66,6 +66,33 @@
 	}
 }
 
+// TestResponseWithWrongLengthIsNoSuccess guards against serving part of a body as a whole one: a
+// response whose length does not fit its body is damaged, and proves nothing about the request.
+func TestResponseWithWrongLengthIsNoSuccess(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+	const copyHead = head + "Content-Type: text/plain\r\n\r\n"
+	large := strings.Repeat("x", 3*readBufferSize)
+	for _, test := range []exchangeTest{
+		{"length shorter than the body", head + "\r\nhello and more", policy.ConnectionLost, false},
+		{"one byte beyond the length", head + "\r\nhelloH", policy.ConnectionLost, false},
+		{"length of 0", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nhello", policy.ConnectionLost, false},
+		{"length shorter than a large body", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(large)/2, large), policy.ConnectionLost, false},
+		{"length beyond the body, up to a second copy", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhelloHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", policy.ConnectionLost, false},
+		{"short length of 503 with X-Never-Ran", "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 2\r\n\r\nfull", policy.ConnectionLost, false},
+		{"another response behind", head + "\r\nhello" + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", policy.ConnectionLost, false},
+		{"start of a copy behind", copyHead + "hello" + copyHead[:len(copyHead)/2], policy.Succeeded, false},
+		{"copy of a chunked response behind", strings.Repeat("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 2), policy.Succeeded, false},
+		{"length and chunked encoding", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n", policy.ConnectionLost, false},
+		{"length and chunked encoding that fit", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", policy.ConnectionLost, false},
+		{"length and chunked encoding after 1xx", "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "transfer-encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n", policy.ConnectionLost, false},
+		{"length and chunked encoding in a long head", head + "X: " + large + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n0\r\n\r\n", policy.ConnectionLost, false},
+		{"length and chunked encoding, HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe", policy.ConnectionLost, false},
+		{"length with a space before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n\r\nhello", policy.ConnectionLost, false},
+	} {
+		t.Run(test.name, test.run)
+	}
+}
+
 // TestUnframedResponseOutcomes checks the same for responses without a length, whose body
 // ends where the endpoint closes the connection in order.
 func TestUnframedResponseOutcomes(t *testing.T) {
