counterclient: a total whose length is stated twice is unknown

It now reads heads with httpresponse, which fails such a response, and no longer has a copy of the code that skips interim responses.

Data behind a total is left alone: the protocol says that any total that can be read is true, and the next response may follow at once. Discovery's answers need no change: a JSON document that is cut short or followed by other data fails to decode.

--- a/internal/counterclient/connection.go
+++ b/internal/counterclient/connection.go
@@ -1,12 +1,12 @@
 package counterclient
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"time"
 
+	"swiftpitch/internal/httpresponse"
 	"swiftpitch/internal/policy"
 )
 
@@ -191,13 +191,11 @@
 	defer c.conn.Close()
 	defer c.drop()
 	limited := &io.LimitedReader{R: c.conn}
-	reader := bufio.NewReaderSize(limited, readBufferSize)
+	reader := httpresponse.NewReader(limited, readBufferSize)
 	for {
 		limited.N = maxResponseBytes
-		if reader.Buffered() == 0 {
-			if _, err := reader.Peek(1); err != nil {
-				return
-			}
+		if reader.Wait() != nil {
+			return
 		}
 		if !c.deliver(readResponse(reader)) {
 			return
--- a/internal/counterclient/response.go
+++ b/internal/counterclient/response.go
@@ -1,21 +1,17 @@
 package counterclient
 
 import (
-	"bufio"
 	"io"
 	"net/http"
 	"strings"
 
 	"swiftpitch/internal/decimal"
+	"swiftpitch/internal/httpresponse"
 	"swiftpitch/internal/policy"
 )
 
-const (
-	// maxResponseBytes limits a response including its head, in bytes.
-	maxResponseBytes = 4 << 10
-	// maxInterimResponses is how many 1xx responses may precede the response to a call.
-	maxInterimResponses = 8
-)
+// maxResponseBytes limits a response including its head, in bytes.
+const maxResponseBytes = 4 << 10
 
 // response is the service's response to one call.
 type response struct {
@@ -29,12 +25,12 @@
 var unknownResult = response{outcome: policy.TimedOut}
 
 // readResponse reads one response. The caller limits how much can be read.
-func readResponse(reader *bufio.Reader) response {
-	head, err := readHead(reader)
+func readResponse(reader *httpresponse.Reader) response {
+	head, err := reader.ReadHead()
 	if err != nil {
 		return unknownResult
 	}
-	if head.ContentLength < 0 && len(head.TransferEncoding) == 0 { // the body ends with the connection
+	if httpresponse.IsUnframed(head) { // the body ends with the connection
 		return unknownResult
 	}
 	body, err := io.ReadAll(head.Body)
@@ -54,16 +50,6 @@
 	return response{outcome: policy.TimedOut, reusable: !head.Close}
 }
 
-// readHead reads the head of the next final response. Interim (1xx) responses before it are
-// skipped, as they do not complete a call.
-func readHead(reader *bufio.Reader) (*http.Response, error) {
-	head, err := http.ReadResponse(reader, nil)
-	for i := 0; err == nil && head.StatusCode < 200 && i < maxInterimResponses; i++ {
-		head, err = http.ReadResponse(reader, nil)
-	}
-	return head, err
-}
-
 // parseTotal parses the value of a counter, which may be negative.
 func parseTotal(body string) (total float64, ok bool) {
 	digits, negative := strings.CutPrefix(strings.TrimSpace(body), "-")
