upstream: responses are acknowledged at once, so duplicates come in time to be seen

Cause: silence of 25 ms ties a response to its request. An endpoint without TCP_NODELAY wrote a duplicate 1 to 5 ms after its response, but its system held that small write back until the response was acknowledged (Nagle's algorithm), and the kernel of the node delays acknowledgments by 40 ms or until it sends data, which is the next request. So the duplicate came right behind the next request. The next true answer was held back in the same way, which kept the connection one answer behind.

Change: after a response on a connection that may be reused the node asks the kernel to acknowledge it now (TCP_QUICKACK, which does not last, so it is asked for each time). Held back data then arrives within a round trip, while the connection is idle, and the check before the next request finds it. ReuseDelay stays as it is: connections are held no longer than before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -77,6 +77,10 @@
 	}
 	response := classify(head, body)
 	response.Reusable = !head.Close && len(following) == 0
+	if response.Reusable {
+		// Data that the endpoint still holds back must come while the connection is idle.
+		socket.AcknowledgeNow(c.Conn)
+	}
 	return response
 }
 
