upstream: look for data behind a response only if the kernel may hold some

Cause: each response cost a recv(2) to see whether data follows it, also where the read before had emptied the kernel's buffer.

Change: the reader remembers whether the last read returned less than there was room for; only if not, the kernel is asked.

--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -71,6 +71,10 @@
 	return data
 }
 
+// SourceDrained reports whether the last read from the source returned less data than there was
+// room for: the source had no more at that time.
+func (r *Reader) SourceDrained() bool { return r.recorder.drained }
+
 // readHead reads the next head, interim or final.
 func (r *Reader) readHead() (*http.Response, error) {
 	r.recorder.start(r.Following())
@@ -91,6 +95,7 @@
 	source    io.Reader
 	recording bool
 	text      []byte
+	drained   bool // the last read returned less than there was room for
 }
 
 // start begins a new recording. ahead is the data that was read before and belongs to it.
@@ -108,6 +113,7 @@
 // Read implements [io.Reader].
 func (r *recorder) Read(b []byte) (int, error) {
 	count, err := r.source.Read(b)
+	r.drained = count < len(b)
 	if r.recording {
 		r.text = append(r.text, b[:count]...)
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -157,9 +157,12 @@
 // dataFollowing returns the data behind a response that has arrived so far. It does not block.
 func (c *Conn) dataFollowing(head *http.Response) ([]byte, error) {
 	following := c.reader.Following()
-	if len(following) > 0 || httpresponse.IsUnframed(head) || socket.Peek(c.Conn) != socket.Readable {
+	if len(following) > 0 || c.reader.SourceDrained() || httpresponse.IsUnframed(head) {
 		return following, nil
 	}
+	if socket.Peek(c.Conn) != socket.Readable {
+		return nil, nil
+	}
 	if err := c.reader.Wait(); err != nil { // the kernel holds data, so this does not block
 		return nil, err
 	}
