discovery: an overdue call stays open, so that a slow service is heard

Cause: a call was given up after 2.5 s (a held one 0.5 s after its wait, 1 s where lists are pushed) and made anew in the same way, however often that had failed. Its answer, on the way by then, was thrown away. Where lists are pushed the same happened with answers after more than 1 s.

Change: a call that is overdue makes way for the next one, at the same times as before, but stays open until its answer would come too late (NotificationDeadline after its wait). At most two overdue calls stay open, the older ones. The schedule owns the open calls and decides which answers count; a list that is older than the node's is not applied. Each call has its own goroutine (runner.go); all else stays in the one of Run.

Connections of a node: at most 3 instead of 1 while answers are overdue; a service that answers in time sees no difference.

TestClientLimit names reservedDescriptors, which is 18 instead of 16 for the two connections, in place of its value plus 6; what it checks is unchanged. The fleet's model of a node executes the schedule as the runner does.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -2,9 +2,9 @@
 // by a watch at an agent on this machine to which changes are pushed, or by polling one service
 // that is shared by the whole fleet ([config.DiscoveryPolled]). Both use long polls.
 //
-// [Client.Run] makes one call after another in the goroutine of its caller. The schedule
-// decides when to call, what to ask for and with which timeout; it uses neither sockets nor a
-// clock.
+// [Client.Run] makes one call after another. The schedule decides when to call, what to ask for and
+// which answers are of use; it uses neither sockets nor a clock. The runner executes it: each call
+// has a goroutine of its own, all else happens in the goroutine that called Run.
 package discovery
 
 import (
@@ -71,29 +71,7 @@
 }
 
 // Run keeps the list up to date until ctx ends.
-func (c *Client) Run(ctx context.Context) {
-	client := &http.Client{Transport: c.Options.Transport}
-	defer client.CloseIdleConnections()
-	schedule := newSchedule(c.Options.Timing, c.Options.Seed, c.Options.CachedList)
-	for ctx.Err() == nil {
-		callCtx, address := c.target(ctx)
-		next, delay := schedule.next(address)
-		if delay > 0 {
-			c.Options.Pause(callCtx, delay)
-			continue
-		}
-		startedAt := time.Now()
-		list, err := fetch(callCtx, client, address, next)
-		if err != nil {
-			c.Options.Log.Debug("call to discovery failed", "err", err)
-			client.CloseIdleConnections() // so that the next call dials a new connection
-			c.Options.Pause(callCtx, schedule.failed(time.Since(startedAt)))
-			continue
-		}
-		c.notify(list, next.fullList)
-		schedule.succeeded(list.Generation)
-	}
-}
+func (c *Client) Run(ctx context.Context) { newRunner(ctx, c).run() }
 
 // notify passes a list to OnList, unless it is an incremental update without changes.
 func (c *Client) notify(list List, fullList bool) {
--- /dev/null
+++ b/internal/discovery/client_test.go
@@ -0,0 +1,93 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"swiftpitch/internal/config"
+	"swiftpitch/internal/policy"
+	"swiftpitch/internal/testsupport"
+)
+
+// respondVersion writes a response that has an incremental update with one endpoint.
+func respondVersion(conn net.Conn, generation int) {
+	text := fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[{"instanceId":"s-0","lifecycle":"SERVING"}]}`, generation)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+// runClient runs a client with a cached list of version 7, whose calls are overdue after some
+// milliseconds, until the test ends. It returns the versions that the client applies.
+func runClient(t *testing.T, mode, address string) <-chan int64 {
+	t.Helper()
+	const overdueAfter = 20 * time.Millisecond
+	timing := NewTiming(&config.Settings{DiscoveryMode: mode, Gateways: 1})
+	timing.CallTimeout = overdueAfter
+	timing.PollInterval = overdueAfter
+	versions := make(chan int64, 16)
+	client := New(address, Options{
+		Lock:       &sync.Mutex{},
+		Timing:     timing,
+		CachedList: List{Generation: 7, Instances: []Instance{{ID: "s-0", Lifecycle: Serving}}},
+		OnList:     func(list List, _ policy.UpdateScope) { versions <- list.Generation },
+		Log:        slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		client.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		testsupport.Receive(t, "the end of the client", ended)
+	})
+	return versions
+}
+
+// Guards against throwing away the answer to a call that was overdue when it came, and against
+// applying the older list of a call that is answered after a newer one.
+func TestLateAnswerIsAppliedUnlessOlder(t *testing.T) {
+	for _, mode := range []string{"push", "ask"} {
+		var calls atomic.Int32
+		var answers sync.WaitGroup
+		answers.Add(1)
+		secondCall := make(chan struct{})
+		firstApplied := make(chan struct{})
+		service := testsupport.StartFakeServer(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+			switch calls.Add(1) {
+			case 1: // overdue by the time of the second call
+				<-secondCall
+				respondVersion(conn, 9)
+				return true
+			case 2: // its list is older than the one of the first call
+				close(secondCall)
+				<-firstApplied
+				respondVersion(conn, 8)
+				answers.Done()
+				return true
+			case 3:
+				answers.Wait()
+				respondVersion(conn, 10)
+				return true
+			}
+			io.Copy(io.Discard, conn) // hangs until the client ends
+			return false
+		})
+		versions := runClient(t, mode, service.Addr)
+		if got := testsupport.Receive(t, "the list of the first call", versions); got != 9 {
+			t.Errorf("%s: version %d is applied, want 9", mode, got)
+		}
+		close(firstApplied)
+		if got := testsupport.Receive(t, "the list of the third call", versions); got != 10 {
+			t.Errorf("%s: version %d is applied after 9, want 10", mode, got)
+		}
+	}
+}
--- a/internal/discovery/fetch_test.go
+++ b/internal/discovery/fetch_test.go
@@ -14,7 +14,7 @@
 	service := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(service.Close)
 	address := strings.TrimPrefix(service.URL, "http://")
-	_, err := fetch(t.Context(), service.Client(), address, call{fullList: true, timeout: 20 * time.Second})
+	_, err := fetch(t.Context(), service.Client(), &call{address: address, fullList: true, timeout: 20 * time.Second})
 	var status *StatusError
 	if !errors.As(err, &status) || status.Address != address || status.Code != http.StatusNotFound {
 		t.Errorf("error %v, want a StatusError with status 404 of %s", err, address)
@@ -27,11 +27,11 @@
 		call call
 		want string
 	}{
-		{call{fullList: true, index: 7, longPollWait: time.Second}, "http://host:1/api/targets"},
-		{call{index: 7, longPollWait: 1500 * time.Millisecond}, "http://host:1/api/targets?index=7&wait=1500"},
+		{call{address: "host:1", fullList: true, index: 7, longPollWait: time.Second}, "http://host:1/api/targets"},
+		{call{address: "host:1", index: 7, longPollWait: 1500 * time.Millisecond}, "http://host:1/api/targets?index=7&wait=1500"},
 	}
 	for _, test := range tests {
-		if got := test.call.url("host:1"); got != test.want {
+		if got := test.call.url(); got != test.want {
 			t.Errorf("URL of %+v: %s, want %s", test.call, got, test.want)
 		}
 	}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -46,15 +46,16 @@
 	state             serviceState
 	queueEmptyAt      time.Duration // when all queued calls are processed
 	longestQueueDelay time.Duration // longest wait of a call so far
+	answerDelay       time.Duration // every answer comes this much later
+	paidCalls         int           // calls processed so far that renewed no watch
 	generation        int64         // version of the list
 	held              []*fakeCall   // long polls that wait for a change, oldest first
 }
 
 // fakeCall is one call of a node.
 type fakeCall struct {
-	call
+	*call
 	caller *fakeNode
-	waitID int // the caller's, when it made the call
 }
 
 // publish creates a new version of the list, answers the held calls with it and returns it.
@@ -93,6 +94,7 @@
 		return
 	}
 	s.queueEmptyAt = max(s.queueEmptyAt, s.Now) + s.callCost
+	s.paidCalls++
 	s.longestQueueDelay = max(s.longestQueueDelay, s.queueDelay())
 	s.After(s.queueDelay(), func() {
 		if s.state == serviceUp {
@@ -121,7 +123,11 @@
 	})
 }
 
-func (s *fakeService) respond(c *fakeCall) { c.caller.receive(c, s.address, s.generation) }
+// respond answers a call with the present version, after the answer delay.
+func (s *fakeService) respond(c *fakeCall) {
+	generation := s.generation
+	s.After(s.answerDelay, func() { c.caller.receive(c, generation) })
+}
 
 // version identifies a version of the list of the service at one address.
 type version struct {
@@ -135,8 +141,9 @@
 	schedule     *schedule
 	services     map[string]*fakeService
 	address      string
-	waitID       int // number of the call or pause in progress; older callbacks are ignored
-	calledAt     time.Duration
+	pauses       int            // pauses so far; the end of an earlier one is ignored
+	open         map[*call]bool // calls that were neither answered nor given up
+	mostOpen     int            // most open calls at a time
 	lastResponse time.Duration
 	hasList      bool
 	notifiedAt   map[version]time.Duration // when the node was notified of each version
@@ -144,58 +151,82 @@
 
 // step makes the next call, or pauses if the schedule demands a delay.
 func (n *fakeNode) step() {
-	n.waitID++
-	id := n.waitID
-	next, delay := n.schedule.next(n.address)
-	if delay > 0 {
+	n.schedule.setAddress(n.address, n.Now)
+	if n.schedule.current != nil {
+		return
+	}
+	if delay := n.schedule.delay(n.Now); delay > 0 {
 		n.pause(delay)
 		return
 	}
-	n.calledAt = n.Now
-	c := &fakeCall{call: next, caller: n, waitID: id}
-	n.After(next.timeout, func() { n.fail(c) })
+	c := &fakeCall{call: n.schedule.start(n.Now), caller: n}
+	n.open[c.call] = true
+	n.mostOpen = max(n.mostOpen, len(n.open))
+	n.After(c.overdueAfter, func() { n.overdue(c) })
+	n.After(c.timeout, func() { n.fail(c) })
 	n.services[n.address].receive(c, n.Now-n.lastResponse <= maxRenewalGap)
 }
 
 func (n *fakeNode) pause(d time.Duration) {
-	n.waitID++
-	id := n.waitID
+	n.pauses++
+	pause := n.pauses
 	n.After(d, func() {
-		if id == n.waitID {
+		if pause == n.pauses {
 			n.step()
 		}
 	})
 }
 
+// overdue reports a call that is still the current one to the schedule.
+func (n *fakeNode) overdue(c *fakeCall) {
+	if c.call == n.schedule.current {
+		n.lastResponse = -maxRenewalGap - 1 // the next call uses a new connection and renews no watch
+		n.schedule.overdue(n.Now)
+		n.step()
+	}
+}
+
 // fail ends a call without a response.
 func (n *fakeNode) fail(c *fakeCall) {
-	if c.waitID == n.waitID {
+	if n.open[c.call] {
+		delete(n.open, c.call)
 		n.lastResponse = -maxRenewalGap - 1 // the next call uses a new connection and renews no watch
-		n.pause(n.schedule.failed(n.Now - n.calledAt))
+		n.schedule.failed(c.call, n.Now)
+		n.step()
 	}
 }
 
 // receive handles the response to a call.
-func (n *fakeNode) receive(c *fakeCall, address string, generation int64) {
-	if c.waitID != n.waitID {
+func (n *fakeNode) receive(c *fakeCall, generation int64) {
+	if !n.open[c.call] {
 		return // the node has given up on this call
 	}
+	delete(n.open, c.call)
 	n.lastResponse = n.Now
-	n.hasList = true
-	for g := c.index + 1; g <= generation; g++ {
-		n.notifiedAt[version{address, g}] = n.Now
+	if n.schedule.answered(c.call, generation, n.Now) {
+		n.notify(c, generation)
 	}
+	n.step()
+}
+
+// notify records that a response notifies the node of a version and, unless it is a full list, of all
+// after the call's index. A version that was notified before keeps its time.
+func (n *fakeNode) notify(c *fakeCall, generation int64) {
+	n.hasList = true
+	first := c.index + 1
 	if c.fullList {
-		n.notifiedAt[version{address, generation}] = n.Now
+		first = generation
+	}
+	for g := first; g <= generation; g++ {
+		if _, known := n.notifiedAt[version{c.address, g}]; !known {
+			n.notifiedAt[version{c.address, g}] = n.Now
+		}
 	}
-	n.schedule.succeeded(generation)
-	n.step()
 }
 
-// changeAddress moves the node to another address and cancels the call or pause in progress.
+// changeAddress moves the node to another address.
 func (n *fakeNode) changeAddress(address string) {
 	n.address = address
-	n.schedule.failed(n.Now - n.calledAt) // the call is canceled
 	n.pause(0)
 }
 
@@ -207,8 +238,8 @@
 	nodes                  []*fakeNode
 }
 
-// newFleet starts a fleet whose nodes have a cached list of version 1 if cached is true, else none.
-func newFleet(mode string, queueLimit time.Duration, cached bool, state serviceState) *fleet {
+// newFleet starts a fleet of size nodes, which have a cached list of version 1 if cached is true, else none.
+func newFleet(size int, mode string, queueLimit time.Duration, cached bool, state serviceState) *fleet {
 	f := &fleet{}
 	f.oldService = &fakeService{Clock: &f.Clock, address: "old", queueLimit: queueLimit, generation: 1, state: state}
 	f.newService = &fakeService{Clock: &f.Clock, address: "new", queueLimit: queueLimit, generation: 1}
@@ -218,7 +249,7 @@
 	}
 	services := map[string]*fakeService{"old": f.oldService, "new": f.newService}
 	settings := &config.Settings{
-		Gateways:      fleetSize,
+		Gateways:      size,
 		DiscoveryMode: mode,
 		EndpointRules: config.EndpointRules{DrainGrace: 2 * time.Second, SubscriptionTimeout: 10 * time.Second},
 	}
@@ -226,15 +257,16 @@
 	if cached {
 		list = List{Generation: 1, Instances: []Instance{{ID: "s-0", Lifecycle: Serving}}}
 	}
-	for seed := range uint64(fleetSize) {
+	for seed := range uint64(size) {
 		node := &fakeNode{
 			Clock:        &f.Clock,
-			schedule:     newSchedule(NewTiming(settings), seed, list),
 			services:     services,
 			address:      "old",
+			open:         map[*call]bool{},
 			lastResponse: -maxRenewalGap - 1,
 			notifiedAt:   map[version]time.Duration{},
 		}
+		node.schedule = newSchedule(NewTiming(settings), seed, list, func(c *call) { delete(node.open, c) })
 		f.nodes = append(f.nodes, node)
 		node.pause(0)
 	}
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -2,73 +2,108 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"swiftpitch/internal/backoff"
 )
 
-// immediatePollWait is the long-poll wait of the first call to an address and of a call after a
-// failed one. Discovery answers it at once, so a hung call is detected without a long-poll wait.
-const immediatePollWait = time.Millisecond
-
-// randomStream separates the random numbers of the schedule from other streams of the seed.
-const randomStream = 0x646973636f
+const (
+	// immediatePollWait is the long-poll wait of the first call to an address and of a call after a
+	// failed one. Discovery answers it at once, so a hung call is detected without a long-poll wait.
+	immediatePollWait = time.Millisecond
+	// maxLateCalls limits the overdue calls that stay open, each on a connection of its own.
+	maxLateCalls = 2
+	// randomStream separates the random numbers of the schedule from other streams of the seed.
+	randomStream = 0x646973636f
+)
 
-// schedule decides when a node calls discovery, what it asks for, and with which timeout. It
-// uses neither sockets nor a clock, and is not safe for concurrent use.
+// schedule decides when a node calls discovery, what it asks for, and which answers are of use. It
+// uses neither sockets nor a clock: the methods take the time since any fixed origin. It is not
+// safe for concurrent use.
+//
+// One call at a time is the current one. A call that is overdue makes way for the next one but
+// stays open, because a slow service still answers it: giving it up would make every call to a
+// service that is slower than the calls' patience fail.
 type schedule struct {
-	timing     Timing
-	rand       *rand.Rand
-	backoff    backoff.Backoff // used unless discovery is polled
-	address    string          // of the last call
-	generation int64           // version of the list
-	hasList    bool            // a list with this version is known
-	connected  bool            // the last call succeeded
+	timing  Timing
+	rand    *rand.Rand
+	backoff backoff.Backoff // used unless discovery is polled
+	abandon func(*call)     // ends a call whose answer is of no use any more
+
+	address       string // to which the next call goes
+	addressNumber int    // number of address, counted from 1
+	connected     bool   // the last call succeeded
+	nextCallAt    time.Duration
+
+	current *call   // call to which the next one follows; nil during a delay
+	late    []*call // overdue calls that are still open, oldest first
+	calls   int     // calls made so far
+
+	generation  int64 // version of the list
+	listAddress int   // number of the address that the list came from; 0: there is no list
+	callsBefore int   // calls made when the list came
 }
 
 // newSchedule returns a schedule that continues from a cached list: the first call asks for
 // what changed after its version. If the list is empty, the first call asks for the full list.
-func newSchedule(timing Timing, seed uint64, cached List) *schedule {
+// abandon ends a call; it must not call the schedule.
+func newSchedule(timing Timing, seed uint64, cached List, abandon func(*call)) *schedule {
 	random := rand.New(rand.NewPCG(seed, randomStream))
-	return &schedule{
+	s := &schedule{
 		timing:     timing,
 		rand:       random,
 		backoff:    backoff.Backoff{Min: timing.MinBackoff, Max: timing.MaxBackoff, Rand: random},
+		abandon:    abandon,
 		generation: cached.Generation,
-		hasList:    len(cached.Instances) > 0,
 	}
-}
-
-// next returns the next call to an address. If delay is positive, there is no call yet: the
-// caller waits that long and asks again.
-func (s *schedule) next(address string) (next call, delay time.Duration) {
-	if address != s.address {
-		s.changeAddress(address)
-		if s.timing.Polled {
-			return call{}, s.uniform(s.timing.JitterWindow)
-		}
-	}
-	next = call{
-		fullList:     !s.hasList,
-		index:        s.generation,
-		longPollWait: immediatePollWait,
-		timeout:      s.timing.CallTimeout,
+	if len(cached.Instances) > 0 {
+		s.listAddress = 1
 	}
-	if s.connected {
-		next.longPollWait = s.longPollWait()
-		next.timeout = next.longPollWait + s.timing.ResponseMargin
-	}
-	return next, 0
+	return s
 }
 
-// changeAddress records that the next call goes to a new address.
-func (s *schedule) changeAddress(address string) {
-	if s.address != "" { // another service numbers its versions independently
-		s.hasList = false
+// setAddress sets the address for all further calls. If it has changed, the open calls are
+// abandoned, and the next call asks for the full list: another service numbers its versions
+// independently.
+func (s *schedule) setAddress(address string, now time.Duration) {
+	if address == s.address {
+		return
 	}
 	s.address = address
+	s.addressNumber++
 	s.connected = false
 	s.backoff.Reset()
+	s.abandonAll()
+	s.nextCallAt = now
+	if s.timing.Polled {
+		s.nextCallAt += s.uniform(s.timing.JitterWindow)
+	}
+}
+
+// delay returns how long to wait before the next call. There must be no current call.
+func (s *schedule) delay(now time.Duration) time.Duration { return max(s.nextCallAt-now, 0) }
+
+// start returns the next call, which becomes the current one. There must be no current call.
+func (s *schedule) start(now time.Duration) *call {
+	s.calls++
+	next := &call{
+		number:        s.calls,
+		address:       s.address,
+		addressNumber: s.addressNumber,
+		startedAt:     now,
+		fullList:      s.listAddress != s.addressNumber,
+		index:         s.generation,
+		longPollWait:  immediatePollWait,
+		overdueAfter:  s.timing.CallTimeout,
+	}
+	if s.connected {
+		next.longPollWait = s.longPollWait()
+		next.overdueAfter = next.longPollWait + s.timing.ResponseMargin
+	}
+	next.timeout = next.longPollWait + NotificationDeadline
+	s.current = next
+	return next
 }
 
 // longPollWait returns how long discovery may hold the next call. It is random if discovery is
@@ -81,19 +116,67 @@
 	return time.Duration(fraction * float64(s.timing.LongPollWait))
 }
 
-// succeeded records a successful call and the version of the list that it returned.
-func (s *schedule) succeeded(generation int64) {
-	s.generation = generation
-	s.hasList = true
+// overdue records that the current call has had no answer for its overdueAfter, and schedules the
+// next call.
+func (s *schedule) overdue(now time.Duration) {
+	overdue := s.current
+	s.setCurrentLate()
+	s.scheduleRetry(overdue, now)
+}
+
+// failed records that a call ended without an answer. The next call is scheduled if it was the
+// current one.
+func (s *schedule) failed(c *call, now time.Duration) {
+	if c == s.current {
+		s.current = nil
+		s.scheduleRetry(c, now)
+		return
+	}
+	s.removeLate(c)
+}
+
+// answered records the answer to a call with the version of its list, and reports whether the list
+// is to be applied. The next call follows at once, unless a long poll is in progress.
+func (s *schedule) answered(c *call, generation int64, now time.Duration) (apply bool) {
+	if c == s.current {
+		s.current = nil
+	} else if !s.removeLate(c) {
+		return false // abandoned
+	}
+	apply = s.isNewer(c, generation)
+	if apply {
+		s.generation = generation
+		s.listAddress = c.addressNumber
+		s.callsBefore = s.calls
+	}
 	s.connected = true
+	s.nextCallAt = now
 	s.backoff.Reset()
+	if s.current != nil && s.current.longPollWait <= immediatePollWait {
+		s.setCurrentLate()
+	}
+	return apply
 }
 
-// failed records a failed call and returns the delay before the next one, given how long the
-// call took.
-func (s *schedule) failed(took time.Duration) time.Duration {
+// isNewer reports whether the list that answers a call is newer than the one that the node has. A
+// call that was open when the node's list came may be answered with an older one.
+func (s *schedule) isNewer(c *call, generation int64) bool {
+	if c.addressNumber != s.listAddress {
+		return c.addressNumber > s.listAddress
+	}
+	return c.number > s.callsBefore || generation > s.generation
+}
+
+// scheduleRetry sets the time of the call that follows one without an answer.
+func (s *schedule) scheduleRetry(c *call, now time.Duration) {
 	wasConnected := s.connected
 	s.connected = false
+	s.nextCallAt = now + s.retryDelay(wasConnected, now-c.startedAt)
+}
+
+// retryDelay returns the delay after a call without an answer, given how long it took and whether
+// the call before had an answer.
+func (s *schedule) retryDelay(wasConnected bool, took time.Duration) time.Duration {
 	switch {
 	case !s.timing.Polled:
 		return s.backoff.Next()
@@ -107,6 +190,39 @@
 	return max(time.Duration(interval)-took, 0)
 }
 
+// setCurrentLate makes way for another current call. At the limit on late calls the older ones
+// stay open, as they are the next that a slow service answers.
+func (s *schedule) setCurrentLate() {
+	if len(s.late) < maxLateCalls {
+		s.late = append(s.late, s.current)
+	} else {
+		s.abandon(s.current)
+	}
+	s.current = nil
+}
+
+// removeLate removes a call from the late ones and reports whether it was one of them.
+func (s *schedule) removeLate(c *call) bool {
+	i := slices.Index(s.late, c)
+	if i < 0 {
+		return false
+	}
+	s.late = slices.Delete(s.late, i, i+1)
+	return true
+}
+
+// abandonAll abandons all open calls.
+func (s *schedule) abandonAll() {
+	if s.current != nil {
+		s.abandon(s.current)
+	}
+	for _, c := range s.late {
+		s.abandon(c)
+	}
+	s.current = nil
+	s.late = nil
+}
+
 // uniform returns a random duration, uniformly distributed between 0 and window.
 func (s *schedule) uniform(window time.Duration) time.Duration {
 	return time.Duration(s.rand.Float64() * float64(window))
--- a/internal/discovery/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -77,7 +77,7 @@
 	for _, variant := range discoveryVariants {
 		for _, e := range fleetEvents {
 			t.Run(variant.name+"/"+e.name, func(t *testing.T) {
-				f := newFleet(variant.mode, variant.queueLimit, true, serviceUp)
+				f := newFleet(fleetSize, variant.mode, variant.queueLimit, true, serviceUp)
 				f.oldService.publish() // a change that the nodes do not know yet
 				f.Run(2 * NotificationDeadline)
 				late, longest := f.lateNodes(version{"old", 2}, 0)
@@ -131,7 +131,7 @@
 	if down > 0 {
 		state = serviceUnresponsive
 	}
-	f := newFleet(mode, queueLimit, cached, state)
+	f := newFleet(fleetSize, mode, queueLimit, cached, state)
 	f.Run(down)
 	f.oldService.setState(serviceUp)
 	f.Run(max(readyWithin-down, NotificationDeadline))
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -13,10 +13,10 @@
 	upstreamConnShare = 0.42
 	// reservedDescriptors is the number of file descriptors for all but connections to clients
 	// and endpoints: three standard streams, two of the Go runtime, the listener, connections to
-	// discovery and to the counter, each at the old and the new address, the configuration file
-	// while it is read, and new connections that are about to evict others. Clients and endpoints
-	// get at most half of the rest each.
-	reservedDescriptors = 16
+	// discovery and to the counter, each at the old and the new address, two more to discovery for
+	// overdue calls, the configuration file while it is read, and new connections that are about to
+	// evict others. Clients and endpoints get at most half of the rest each.
+	reservedDescriptors = 18
 	// defaultClientConns is the limit on client connections if the number of file descriptors is
 	// not configured.
 	defaultClientConns = 512
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -17,7 +17,7 @@
 // new ones: the connection that has been idle for longest is evicted.
 func TestClientLimit(t *testing.T) {
 	cfg := testConfig(t)
-	cfg.MaxDescriptors = 22 // 6 more than reservedDescriptors, half of them for clients
+	cfg.MaxDescriptors = reservedDescriptors + 6 // half of these 6 are for clients
 	h := startNode(t, cfg, testsupport.StartFakeServer(t, testsupport.RespondOK).Addr)
 	if limit := h.node.clientConns.Stats().MaxConns; limit != 3 {
 		t.Fatalf("the limit is %d client connections, want 3", limit)
