discovery: new addresses in a row do not put the calls off again

Cause: every change of the address drew a new pause of up to 3.5 s for the first call, whether or not one was pending already, and ended the watch at the old address, which was still answered.

Change: a pending first call keeps its time. A node that has called within the poll interval calls again at its end, at most 3.5 s after the change, instead of drawing anew, so that a row of changes leads to one call per interval. The call in progress at the old address stays open until the new one has answered; if the old address breaks it, the next call follows at once.

A node has one more connection open until the new address has answered.

TestDiscoveryChangesAddress checked by the time of the next call that the old watch was canceled at once; that is no longer wanted. It keeps the bound on that time, and now checks that the old watch ends once the new address has answered.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -94,9 +94,9 @@
 	return c.addressContext, c.address
 }
 
-// ChangeAddress moves the client to another address of the discovery service. It cancels the
-// call or pause in progress; the next call goes to the new address and asks for the full list.
-// The caller must hold Options.Lock.
+// ChangeAddress moves the client to another address of the discovery service. The next call goes
+// to the new address and asks for the full list; the call in progress may be answered until that
+// one is. The caller must hold Options.Lock.
 func (c *Client) ChangeAddress(address string) {
 	if address == c.address {
 		return
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -25,7 +25,7 @@
 
 // runClient runs a client with a cached list of version 7, whose calls are overdue after some
 // milliseconds, until the test ends. It returns the versions that the client applies.
-func runClient(t *testing.T, mode, address string) <-chan int64 {
+func runClient(t *testing.T, mode, address string) (*Client, <-chan int64) {
 	t.Helper()
 	const overdueAfter = 20 * time.Millisecond
 	timing := NewTiming(&config.Settings{DiscoveryMode: mode, Gateways: 1})
@@ -49,7 +49,7 @@
 		cancel()
 		testsupport.Receive(t, "the end of the client", ended)
 	})
-	return versions
+	return client, versions
 }
 
 // Guards against throwing away the answer to a call that was overdue when it came, and against
@@ -81,7 +81,7 @@
 			io.Copy(io.Discard, conn) // hangs until the client ends
 			return false
 		})
-		versions := runClient(t, mode, service.Addr)
+		_, versions := runClient(t, mode, service.Addr)
 		if got := testsupport.Receive(t, "the list of the first call", versions); got != 9 {
 			t.Errorf("%s: version %d is applied, want 9", mode, got)
 		}
@@ -91,3 +91,47 @@
 		}
 	}
 }
+
+// Guards against missing a change that the previous address of discovery still tells: the watch
+// there stays open until a call to the new address has been answered.
+func TestPreviousAddressIsHeardUntilNewOneAnswers(t *testing.T) {
+	watching := make(chan struct{}, 1)
+	moved := make(chan struct{})
+	var calls atomic.Int32
+	previous := testsupport.StartFakeServer(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		if calls.Add(1) == 1 {
+			respondVersion(conn, 8)
+			return true
+		}
+		watching <- struct{}{}
+		<-moved
+		respondVersion(conn, 9)
+		return false
+	})
+	heard := make(chan struct{})
+	next := testsupport.StartFakeServer(t, func(conn net.Conn, req *http.Request, _ []byte) bool {
+		if req.URL.RawQuery != "" {
+			io.Copy(io.Discard, conn) // hangs until the client ends
+			return false
+		}
+		<-heard
+		respondVersion(conn, 3) // another service numbers its versions independently
+		return true
+	})
+	client, versions := runClient(t, "push", previous.Addr)
+	testsupport.Receive(t, "the watch", watching)
+	client.Options.Lock.Lock()
+	client.ChangeAddress(next.Addr)
+	client.Options.Lock.Unlock()
+	testsupport.Eventually(t, "a call to the new address", func() bool { return len(next.Requests()) > 0 })
+	close(moved)
+	for _, want := range []int64{8, 9} {
+		if got := testsupport.Receive(t, "a list of the previous address", versions); got != want {
+			t.Errorf("version %d is applied, want %d", got, want)
+		}
+	}
+	close(heard)
+	if got := testsupport.Receive(t, "the list of the new address", versions); got != 3 {
+		t.Errorf("version %d is applied, want 3", got)
+	}
+}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"swiftpitch/internal/config"
@@ -40,7 +42,7 @@
 // once.
 type fakeService struct {
 	*testclock.Clock
-	address           string
+	name              string
 	callCost          time.Duration // processing time of a call; 0 for an agent
 	queueLimit        time.Duration // a call that would wait longer is rejected after this time
 	state             serviceState
@@ -129,9 +131,15 @@
 	s.After(s.answerDelay, func() { c.caller.receive(c, generation) })
 }
 
-// version identifies a version of the list of the service at one address.
+// addressesInRow is the number of further addresses of the new service.
+const addressesInRow = 8
+
+// addressInRow returns one of the further addresses of the new service.
+func addressInRow(i int) string { return fmt.Sprintf("new %d", i) }
+
+// version identifies a version of the list of one service.
 type version struct {
-	address    string
+	service    string // its name
 	generation int64
 }
 
@@ -141,9 +149,9 @@
 	schedule     *schedule
 	services     map[string]*fakeService
 	address      string
-	pauses       int            // pauses so far; the end of an earlier one is ignored
-	open         map[*call]bool // calls that were neither answered nor given up
-	mostOpen     int            // most open calls at a time
+	pauses       int         // pauses so far; the end of an earlier one is ignored
+	open         []*fakeCall // calls that were neither answered nor given up, oldest first
+	mostOpen     int         // most open calls at a time
 	lastResponse time.Duration
 	hasList      bool
 	notifiedAt   map[version]time.Duration // when the node was notified of each version
@@ -160,7 +168,7 @@
 		return
 	}
 	c := &fakeCall{call: n.schedule.start(n.Now), caller: n}
-	n.open[c.call] = true
+	n.open = append(n.open, c)
 	n.mostOpen = max(n.mostOpen, len(n.open))
 	n.After(c.overdueAfter, func() { n.overdue(c) })
 	n.After(c.timeout, func() { n.fail(c) })
@@ -188,8 +196,7 @@
 
 // fail ends a call without a response.
 func (n *fakeNode) fail(c *fakeCall) {
-	if n.open[c.call] {
-		delete(n.open, c.call)
+	if n.remove(c.call) {
 		n.lastResponse = -maxRenewalGap - 1 // the next call uses a new connection and renews no watch
 		n.schedule.failed(c.call, n.Now)
 		n.step()
@@ -198,10 +205,9 @@
 
 // receive handles the response to a call.
 func (n *fakeNode) receive(c *fakeCall, generation int64) {
-	if !n.open[c.call] {
+	if !n.remove(c.call) {
 		return // the node has given up on this call
 	}
-	delete(n.open, c.call)
 	n.lastResponse = n.Now
 	if n.schedule.answered(c.call, generation, n.Now) {
 		n.notify(c, generation)
@@ -209,17 +215,37 @@
 	n.step()
 }
 
-// notify records that a response notifies the node of a version and, unless it is a full list, of all
-// after the call's index. A version that was notified before keeps its time.
+// notify records that a response notifies the node of all versions up to its own, of those after the
+// call's index unless it is a full list. A version that was notified before keeps its time.
 func (n *fakeNode) notify(c *fakeCall, generation int64) {
 	n.hasList = true
 	first := c.index + 1
 	if c.fullList {
-		first = generation
+		first = 1
 	}
+	service := n.services[c.address].name
 	for g := first; g <= generation; g++ {
-		if _, known := n.notifiedAt[version{c.address, g}]; !known {
-			n.notifiedAt[version{c.address, g}] = n.Now
+		if _, known := n.notifiedAt[version{service, g}]; !known {
+			n.notifiedAt[version{service, g}] = n.Now
+		}
+	}
+}
+
+// remove removes a call from the open ones and reports whether it was one of them.
+func (n *fakeNode) remove(c *call) bool {
+	i := slices.IndexFunc(n.open, func(open *fakeCall) bool { return open.call == c })
+	if i < 0 {
+		return false
+	}
+	n.open = slices.Delete(n.open, i, i+1)
+	return true
+}
+
+// closeAddress breaks the connections to an address.
+func (n *fakeNode) closeAddress(address string) {
+	for _, c := range slices.Clone(n.open) {
+		if c.address == address {
+			n.fail(c)
 		}
 	}
 }
@@ -241,13 +267,16 @@
 // newFleet starts a fleet of size nodes, which have a cached list of version 1 if cached is true, else none.
 func newFleet(size int, mode string, queueLimit time.Duration, cached bool, state serviceState) *fleet {
 	f := &fleet{}
-	f.oldService = &fakeService{Clock: &f.Clock, address: "old", queueLimit: queueLimit, generation: 1, state: state}
-	f.newService = &fakeService{Clock: &f.Clock, address: "new", queueLimit: queueLimit, generation: 1}
+	f.oldService = &fakeService{Clock: &f.Clock, name: "old", queueLimit: queueLimit, generation: 1, state: state}
+	f.newService = &fakeService{Clock: &f.Clock, name: "new", queueLimit: queueLimit, generation: 1}
 	if mode == "ask" {
 		f.oldService.callCost = callCost
 		f.newService.callCost = callCost
 	}
 	services := map[string]*fakeService{"old": f.oldService, "new": f.newService}
+	for i := range addressesInRow {
+		services[addressInRow(i)] = f.newService
+	}
 	settings := &config.Settings{
 		Gateways:      size,
 		DiscoveryMode: mode,
@@ -262,11 +291,10 @@
 			Clock:        &f.Clock,
 			services:     services,
 			address:      "old",
-			open:         map[*call]bool{},
 			lastResponse: -maxRenewalGap - 1,
 			notifiedAt:   map[version]time.Duration{},
 		}
-		node.schedule = newSchedule(NewTiming(settings), seed, list, func(c *call) { delete(node.open, c) })
+		node.schedule = newSchedule(NewTiming(settings), seed, list, func(c *call) { node.remove(c) })
 		f.nodes = append(f.nodes, node)
 		node.pause(0)
 	}
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -33,8 +33,9 @@
 
 	address       string // to which the next call goes
 	addressNumber int    // number of address, counted from 1
-	connected     bool   // the last call succeeded
+	connected     bool   // the last call to address succeeded
 	nextCallAt    time.Duration
+	newWatchAt    time.Duration // start of the last call that did not follow an answer at once
 
 	current *call   // call to which the next one follows; nil during a delay
 	late    []*call // overdue calls that are still open, oldest first
@@ -63,21 +64,40 @@
 	return s
 }
 
-// setAddress sets the address for all further calls. If it has changed, the open calls are
-// abandoned, and the next call asks for the full list: another service numbers its versions
-// independently.
+// setAddress sets the address for all further calls. The call in progress at the previous address
+// stays open, as it may still be answered. The next call asks for the full list, as another service
+// numbers its versions independently.
 func (s *schedule) setAddress(address string, now time.Duration) {
 	if address == s.address {
 		return
 	}
+	callPending := s.address != "" && s.current == nil
 	s.address = address
 	s.addressNumber++
 	s.connected = false
 	s.backoff.Reset()
-	s.abandonAll()
-	s.nextCallAt = now
-	if s.timing.Polled {
-		s.nextCallAt += s.uniform(s.timing.JitterWindow)
+	if s.current != nil {
+		s.abandonLate(func(*call) bool { return true })
+		s.setCurrentLate()
+	}
+	s.scheduleFirstCall(callPending, now)
+}
+
+// scheduleFirstCall sets the time of the first call to a new address. If discovery is polled, the
+// first calls of the nodes are spread over the jitter window. A call that is pending already is not
+// put off, and further addresses lead to one call per poll interval at most, as every node makes
+// such calls.
+func (s *schedule) scheduleFirstCall(callPending bool, now time.Duration) {
+	latest := now + s.timing.JitterWindow
+	intervalEnd := s.newWatchAt + s.timing.PollInterval
+	switch {
+	case !s.timing.Polled:
+		s.nextCallAt = now
+	case callPending && s.nextCallAt <= latest:
+	case s.calls > 0 && intervalEnd > now:
+		s.nextCallAt = min(intervalEnd, latest)
+	default:
+		s.nextCallAt = now + s.uniform(s.timing.JitterWindow)
 	}
 }
 
@@ -100,6 +120,8 @@
 	if s.connected {
 		next.longPollWait = s.longPollWait()
 		next.overdueAfter = next.longPollWait + s.timing.ResponseMargin
+	} else {
+		s.newWatchAt = now
 	}
 	next.timeout = next.longPollWait + NotificationDeadline
 	s.current = next
@@ -125,18 +147,20 @@
 }
 
 // failed records that a call ended without an answer. The next call is scheduled if it was the
-// current one.
+// current one. It follows at once if the previous address closed the connection of the latest call.
 func (s *schedule) failed(c *call, now time.Duration) {
-	if c == s.current {
+	switch {
+	case c == s.current:
 		s.current = nil
 		s.scheduleRetry(c, now)
-		return
+	case s.removeLate(c) && c.addressNumber != s.addressNumber && c.startedAt == s.newWatchAt:
+		s.nextCallAt = now
 	}
-	s.removeLate(c)
 }
 
 // answered records the answer to a call with the version of its list, and reports whether the list
-// is to be applied. The next call follows at once, unless a long poll is in progress.
+// is to be applied. The next call follows at once, unless a long poll is in progress or the answer
+// comes from a previous address.
 func (s *schedule) answered(c *call, generation int64, now time.Duration) (apply bool) {
 	if c == s.current {
 		s.current = nil
@@ -149,9 +173,13 @@
 		s.listAddress = c.addressNumber
 		s.callsBefore = s.calls
 	}
+	if c.addressNumber != s.addressNumber {
+		return apply // it says nothing about the service at the new address
+	}
 	s.connected = true
 	s.nextCallAt = now
 	s.backoff.Reset()
+	s.abandonLate(func(late *call) bool { return late.addressNumber != s.addressNumber })
 	if s.current != nil && s.current.longPollWait <= immediatePollWait {
 		s.setCurrentLate()
 	}
@@ -211,16 +239,15 @@
 	return true
 }
 
-// abandonAll abandons all open calls.
-func (s *schedule) abandonAll() {
-	if s.current != nil {
-		s.abandon(s.current)
-	}
-	for _, c := range s.late {
+// abandonLate abandons the late calls that match.
+func (s *schedule) abandonLate(matches func(*call) bool) {
+	s.late = slices.DeleteFunc(s.late, func(c *call) bool {
+		if !matches(c) {
+			return false
+		}
 		s.abandon(c)
-	}
-	s.current = nil
-	s.late = nil
+		return true
+	})
 }
 
 // uniform returns a random duration, uniformly distributed between 0 and window.
--- a/internal/edge/discovery.go
+++ b/internal/edge/discovery.go
@@ -18,8 +18,8 @@
 }
 
 // ChangeAddresses sets the addresses of discovery and the counter for all further calls, as
-// when the configuration is reloaded. If discovery's address changes, the call to it that is in
-// progress is canceled. Responses of the previous counter to earlier calls are still used. An
+// when the configuration is reloaded. Responses of the previous discovery service to the call in
+// progress, and of the previous counter to earlier calls, are still used. An
 // empty counterAddress leaves the counter's address unchanged. It may be called from any
 // goroutine.
 func (n *Node) ChangeAddresses(discoveryAddress, counterAddress string) {
--- a/internal/edge/discovery_test.go
+++ b/internal/edge/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -98,16 +99,17 @@
 	return serving
 }
 
-// TestDiscoveryChangesAddress checks that a watch at the previous address of discovery is canceled
-// when the address changes, and that the node asks for the full list at the new address.
+// TestDiscoveryChangesAddress checks that the node asks for the full list at a new address of
+// discovery without waiting for the watch at the previous address, and that this watch ends once the
+// new address has answered.
 func TestDiscoveryChangesAddress(t *testing.T) {
-	hang := make(chan struct{})
-	t.Cleanup(func() { close(hang) })
+	watchEnded := make(chan string, 2)
 	list := func(id string, uris chan<- string) func(net.Conn, *http.Request, []byte) bool {
 		return func(c net.Conn, req *http.Request, _ []byte) bool {
 			uris <- req.RequestURI
 			if req.URL.RawQuery != "" {
-				<-hang
+				io.Copy(io.Discard, c) // hangs until the node ends the call
+				watchEnded <- id
 				return false
 			}
 			return respondList(c, fmt.Sprintf(`{"generation":7,"reset":true,"instances":`+
@@ -127,7 +129,13 @@
 		t.Errorf("calls at the new address %q, %q, want /api/targets and then index=7", first, watch)
 	}
 	if time.Since(changedAt) >= discovery.WatchLongPollWait {
-		t.Errorf("the new address was called after %v or more: the previous watch was not canceled", discovery.WatchLongPollWait)
+		t.Errorf("the new address was called after %v or more, as if the node had waited for the previous watch", discovery.WatchLongPollWait)
+	}
+	if id := testsupport.Receive(t, "the end of the previous watch", watchEnded); id != "old" {
+		t.Errorf("the watch at %q has ended, want \"old\"", id)
+	}
+	if time.Since(changedAt) >= discovery.WatchLongPollWait {
+		t.Errorf("the previous watch ended after %v or more, want its end once the new address has answered", discovery.WatchLongPollWait)
 	}
 	h.node.mu.Lock()
 	defer h.node.mu.Unlock()
