--- a/internal/discovery/slow_test.go
+++ b/internal/discovery/slow_test.go
@@ -58,3 +58,23 @@
 	t.Logf("the last node was notified after %v; %.1f calls/s that renewed no watch", longest,
 		float64(paid)/(2*NotificationDeadline).Seconds())
 }
+
+// Guards against nodes that never become ready because discovery is slow when they start without a
+// cached list.
+func TestNodesBecomeReadyAtSlowDiscovery(t *testing.T) {
+	const readyWithin = 10 * time.Second
+	for _, mode := range []string{"push", "ask"} {
+		f := newFleet(fleetSize, mode, shortQueueLimit, false, serviceUp)
+		f.oldService.answerDelay = slowAnswerDelay
+		f.Run(readyWithin)
+		withoutList := 0
+		for _, node := range f.nodes {
+			if !node.hasList {
+				withoutList++
+			}
+		}
+		if withoutList > 0 {
+			t.Errorf("%s: %d of %d nodes have no list after %v, want 0", mode, withoutList, fleetSize, readyWithin)
+		}
+	}
+}
