httpresponse: the text of a large head is not kept by idle connections

Cause: keeps the text of each response's head for the check of its lengths and reuses the memory. An endpoint that sends heads of up to 32 KiB would have left as much with every idle connection.

Change: the reader frees a text of over 1 KiB when the response is done. Exchange is split: readResponse has one error path.

--- a/internal/httpresponse/reader.go
+++ b/internal/httpresponse/reader.go
@@ -14,8 +14,13 @@
 	"net/http"
 )
 
-// maxInterimResponses limits the interim (1xx) responses that precede a final one.
-const maxInterimResponses = 8
+const (
+	// maxInterimResponses limits the interim (1xx) responses that precede a final one.
+	maxInterimResponses = 8
+	// maxRetainedHeadBytes limits the memory for the text of a head that a reader keeps after
+	// [Reader.ReleaseHead], in bytes.
+	maxRetainedHeadBytes = 1 << 10
+)
 
 var (
 	// ErrTooManyInterimResponses reports more interim (1xx) responses than are skipped.
@@ -55,9 +60,18 @@
 }
 
 // HeadText returns the text of the latest head that was read, with the empty line that ends it. It
-// is valid until the next call of [Reader.ReadHead].
+// is valid until the next call of [Reader.ReadHead] or [Reader.ReleaseHead].
 func (r *Reader) HeadText() []byte { return r.headText }
 
+// ReleaseHead ends the use of the head's text, and frees its memory if the head was large. It is
+// called when a response is done, as the reader of an idle connection may live for long.
+func (r *Reader) ReleaseHead() {
+	r.headText = nil
+	if cap(r.recorder.text) > maxRetainedHeadBytes {
+		r.recorder.text = nil
+	}
+}
+
 // Wait blocks until data can be read.
 func (r *Reader) Wait() error {
 	_, err := r.buffer.Peek(1)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -29,6 +29,7 @@
 
 var (
 	errBodyTooLong    = errors.New("response body too long")
+	errDataFollows    = errors.New("data follows the response, whose body may be longer than its stated length")
 	errNoMemory       = errors.New("no memory for the response body")
 	errUnframedHTTP10 = errors.New("HTTP/1.0 response without Content-Length: its Transfer-Encoding, if any, is not decoded")
 )
@@ -59,29 +60,39 @@
 		}
 		return Response{Outcome: policy.ConnectionLost}
 	}
+	response, err := c.readResponse(reserve)
+	if err != nil {
+		return Response{Outcome: policy.ConnectionLost}
+	}
+	if response.Reusable {
+		// Data that the endpoint still holds back must come while the connection is idle.
+		socket.AcknowledgeNow(c.Conn)
+	}
+	return response
+}
+
+// readResponse reads the whole response. An error tells that the response is damaged or incomplete.
+func (c *Conn) readResponse(reserve ReserveMemory) (Response, error) {
 	c.limit.N = maxResponseHeadBytes + maxBodyBytes
+	defer c.reader.ReleaseHead()
 	head, err := c.readHead()
 	if err != nil {
-		return Response{Outcome: policy.ConnectionLost}
+		return Response{}, err
 	}
 	body, err := c.readBody(head, reserve)
 	if err != nil {
-		return Response{Outcome: policy.ConnectionLost}
+		return Response{}, err
 	}
 	following, err := c.dataFollowing(head)
 	if err != nil {
-		return Response{Outcome: policy.ConnectionLost}
+		return Response{}, err
 	}
 	if len(following) > 0 && !c.isCopyOfResponse(following, head, body) {
-		return Response{Outcome: policy.ConnectionLost} // the body may be longer than its stated length
+		return Response{}, errDataFollows
 	}
 	response := classify(head, body)
 	response.Reusable = !head.Close && len(following) == 0
-	if response.Reusable {
-		// Data that the endpoint still holds back must come while the connection is idle.
-		socket.AcknowledgeNow(c.Conn)
-	}
-	return response
+	return response, nil
 }
 
 // write writes a request. Apart from the error it reports whether all of the request was
