--- a/internal/policy/deadline.go
+++ b/internal/policy/deadline.go
@@ -46,12 +46,12 @@
 		return false
 	}
 	timeLeft := r.deadline - g.now
-	unqueued := g.latencies.unqueuedLatency(r.classIndex)
+	baseLatency := g.latencies.baseLatency(r.classIndex)
 	wait := g.latencies.likelyWait(r.classIndex, expectedLatency)
-	if unqueued+wait <= timeLeft.Seconds() {
+	if baseLatency+wait <= timeLeft.Seconds() {
 		return wait >= g.waitLimit.at(g.now)
 	}
-	if wait > crowdedWait*unqueued && 2*timeLeft >= r.class.Deadline {
+	if wait > crowdedWait*baseLatency && 2*timeLeft >= r.class.Deadline {
 		g.waitLimit.lower(g.now, wait)
 	}
 	return true
--- a/internal/policy/latency.go
+++ b/internal/policy/latency.go
@@ -6,15 +6,15 @@
 )
 
 const (
-	minServiceTimeGain   = 0.02             // smallest weight of one answer in a class's mean service time and in the mean latency
-	serviceTimeMemory    = 2 * time.Second  // an answer this long after the last one of its class has half of the weight in the mean service time
-	unqueuedMemory       = 30 * time.Second // time constant with which the service time without a queue follows a mean that stays higher
-	slownessGain         = 0.05             // weight of one answer in an endpoint's slowness; low because requests differ widely
-	maxSlownessSample    = 4.0              // upper limit of one sample of slowness, against the effect of one long request
-	slownessDecayTime    = 10 * time.Second // time constant with which slowness decays to 1 without answers
-	assumedOtherAttempts = 1.0              // attempts of other gateways assumed at every endpoint
-	smallFleetSize       = 3                // up to this many gateways, the attempts of this gateway at an endpoint show whether it has a queue
-	initialServiceTime   = 0.1              // seconds; first guess of a class's service time, with the weight of one answer
+	minServiceTimeGain    = 0.02             // smallest weight of one answer in a class's mean service time and in the mean latency
+	serviceTimeMemory     = 2 * time.Second  // an answer this long after the last one of its class has half of the weight in the mean service time
+	baseServiceTimeMemory = 30 * time.Second // time constant with which the service time without a queue follows a mean that stays higher
+	slownessGain          = 0.05             // weight of one answer in an endpoint's slowness; low because requests differ widely
+	maxSlownessSample     = 4.0              // upper limit of one sample of slowness, against the effect of one long request
+	slownessDecayTime     = 10 * time.Second // time constant with which slowness decays to 1 without answers
+	assumedOtherAttempts  = 1.0              // attempts of other gateways assumed at every endpoint
+	smallFleetSize        = 3                // up to this many gateways, the attempts of this gateway at an endpoint show whether it has a queue
+	initialServiceTime    = 0.1              // seconds; first guess of a class's service time, with the weight of one answer
 
 	latencyPercentile   = 0.95 // share of the answers that come within the likely latency
 	initialLatencyRatio = 3.0  // first guess of the likely latency relative to the expected one: that of exponentially distributed latencies
@@ -35,11 +35,11 @@
 
 // classLatency is what the answers to requests of one class tell about their latency.
 type classLatency struct {
-	serviceTime float64 // mean, seconds
-	unqueued    float64 // least recent mean, seconds: the service time while endpoints have no queue
-	answers     float64 // number of answers in serviceTime
-	updatedAt   Time    // time of the last of them
-	inFlight    int     // attempts of this gateway in flight
+	serviceTime     float64 // mean, seconds
+	baseServiceTime float64 // least recent mean, seconds: the service time while endpoints have no queue
+	answers         float64 // number of answers in serviceTime
+	updatedAt       Time    // time of the last of them
+	inFlight        int     // attempts of this gateway in flight
 }
 
 func newLatencyEstimator(settings *Settings) latencyEstimator {
@@ -50,7 +50,7 @@
 	}
 	for i := range e.classes {
 		e.classes[i].serviceTime = initialServiceTime
-		e.classes[i].unqueued = initialServiceTime
+		e.classes[i].baseServiceTime = initialServiceTime
 	}
 	e.meanLatency = e.idleLatency(0)
 	return e
@@ -99,16 +99,16 @@
 // Both are in seconds.
 func (e *latencyEstimator) likely(expected float64) float64 { return expected * e.likelyRatio }
 
-// unqueuedLatency returns the expected latency in seconds of an attempt of a class while endpoints
+// baseLatency returns the expected latency in seconds of an attempt of a class while endpoints
 // have no queue.
-func (e *latencyEstimator) unqueuedLatency(class int) float64 {
-	return e.classes[class].unqueued * e.queuePosition(0)
+func (e *latencyEstimator) baseLatency(class int) float64 {
+	return e.classes[class].baseServiceTime * e.queuePosition(0)
 }
 
 // likelyWait returns the wait for the work ahead that an attempt with an expected latency probably
 // does not exceed. Both are in seconds.
 func (e *latencyEstimator) likelyWait(class int, expected float64) float64 {
-	return e.likely(max(expected-e.unqueuedLatency(class), 0))
+	return e.likely(max(expected-e.baseLatency(class), 0))
 }
 
 // queuePosition estimates the position of a new attempt in an endpoint's queue from the
@@ -161,6 +161,6 @@
 	c.updatedAt = now
 	gain := max(minServiceTimeGain, 1/(c.answers+1), age/(age+serviceTimeMemory.Seconds()))
 	c.serviceTime += gain * (serviceTime - c.serviceTime)
-	c.unqueued += age / (age + unqueuedMemory.Seconds()) * (c.serviceTime - c.unqueued)
-	c.unqueued = min(c.unqueued, c.serviceTime)
+	c.baseServiceTime += age / (age + baseServiceTimeMemory.Seconds()) * (c.serviceTime - c.baseServiceTime)
+	c.baseServiceTime = min(c.baseServiceTime, c.serviceTime)
 }
