discovery: the tests of polling live in its package, five constants are internal

Change: polling_test.go moves to internal/discovery and drives Client; its checks and bounds are the same. MaxJitterWindow, MaxPollInterval, PollIntervalJitter, PollResponseAllowance and MinLongPollWaitFraction are no longer exported.

--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -20,7 +20,7 @@
 // respondVersion writes a response that has an incremental update with one endpoint.
 func respondVersion(conn net.Conn, generation int) {
 	text := fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[{"instanceId":"s-0","lifecycle":"SERVING"}]}`, generation)
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	respond(conn, "200 OK", text)
 }
 
 // runClient runs a client with a cached list of version 7, whose calls are overdue after some
--- a/internal/edge/polling_test.go
+++ b/internal/discovery/polling_test.go
@@ -1,56 +1,65 @@
-package edge
+package discovery
 
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"swiftpitch/internal/discovery"
+	"swiftpitch/internal/config"
+	"swiftpitch/internal/policy"
 	"swiftpitch/internal/testsupport"
 )
 
-// newPollingConfig returns the configuration of a node in a fleet that polls discovery.
-func newPollingConfig(t *testing.T, address string, seed uint64, gateways int) Config {
-	t.Helper()
-	cfg := testConfig(t)
-	cfg.DiscoveryAddress = address
-	cfg.Seed = seed
-	cfg.Settings.Gateways = gateways
-	cfg.Settings.DiscoveryMode = "ask"
-	cfg.Settings.EndpointRules.SubscriptionTimeout = 10 * time.Second
-	cfg.CachedList.Instances = oneServingInstance()
-	return cfg
+// newPollingClient returns a client of a node in a fleet that polls discovery. The node has a cached
+// list of a version.
+func newPollingClient(address string, seed uint64, gateways int, cachedVersion int64) *Client {
+	return New(address, Options{
+		Lock:       &sync.Mutex{},
+		Timing:     NewTiming(&config.Settings{DiscoveryMode: "ask", Gateways: gateways}),
+		Seed:       seed,
+		CachedList: List{Generation: cachedVersion, Instances: []Instance{{ID: "s-0", HostPort: "127.0.0.1:9", Lifecycle: Serving}}},
+		OnList:     func(List, policy.UpdateScope) {},
+		Log:        slog.New(slog.DiscardHandler),
+	})
+}
+
+// respond writes a response and keeps the connection open.
+func respond(conn net.Conn, status, body string) bool {
+	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	return true
 }
 
-// pauseRecorder replaces the pauses between the calls of a node that polls discovery: it records
-// and checks them without waiting, and stops the node after a number of failed calls.
+// pauseRecorder replaces the pauses between the calls of a client that polls discovery: it records
+// and checks them without waiting, and stops the client after a number of failed calls.
 type pauseRecorder struct {
 	t            *testing.T
-	node         *Node
+	stop         context.CancelFunc
 	failures     int
 	pauses       []time.Duration
 	pauseEndedAt time.Time // when the last pause ended and the next call began
 }
 
-// pause takes the place of the discovery client's pause before a call.
+// pause takes the place of the client's pause before a call.
 func (p *pauseRecorder) pause(_ context.Context, wait time.Duration) {
 	if len(p.pauses) > 0 {
-		minInterval := time.Duration((1 - discovery.PollIntervalJitter) * float64(discovery.MaxPollInterval))
+		minInterval := time.Duration((1 - pollIntervalJitter) * float64(maxPollInterval))
 		if interval := wait + time.Since(p.pauseEndedAt); interval < minInterval {
 			p.t.Errorf("a call %v after the previous one, want at least %v", interval, minInterval)
 		}
-		if wait+discovery.PollResponseAllowance >= discovery.NotificationDeadline {
-			p.t.Errorf("a pause of %v before a call, too long to learn of a change within %v", wait, discovery.NotificationDeadline)
+		if wait+pollResponseAllowance >= NotificationDeadline {
+			p.t.Errorf("a pause of %v before a call, too long to learn of a change within %v", wait, NotificationDeadline)
 		}
 	}
 	p.pauses = append(p.pauses, wait)
 	if len(p.pauses) > p.failures {
-		p.node.stop()
+		p.stop()
 	}
 	p.pauseEndedAt = time.Now()
 }
@@ -59,23 +68,22 @@
 // overload it: their first calls are spread over the jitter window and ask for changes instead of
 // the full list. After a failed call a node pauses so long that the calls of the whole fleet stay
 // within the service's capacity, but short enough to learn of a change before
-// discovery.NotificationDeadline.
+// NotificationDeadline.
 func TestPollsAreSpreadAcrossFleet(t *testing.T) {
 	uris := make(chan string, 1024)
 	service := testsupport.StartFakeServer(t, func(c net.Conn, req *http.Request, _ []byte) bool {
 		uris <- req.RequestURI
-		return respondUnavailable(c)
+		return respond(c, "503 Service Unavailable", "")
 	})
 	const fleet, failures = 80, 4
-	const window = discovery.MaxJitterWindow // the longest window, as 80 nodes would need a longer one
-	quarters := [4]int{}                     // nodes by the quarter of the window of their first call
+	const window = maxJitterWindow // the longest window, as 80 nodes would need a longer one
+	quarters := [4]int{}           // nodes by the quarter of the window of their first call
 	for seed := range uint64(fleet) {
-		cfg := newPollingConfig(t, service.Addr, seed, fleet)
-		cfg.CachedList.Generation = 41
-		n := newUnstartedNode(t, cfg)
-		recorder := &pauseRecorder{t: t, node: n, failures: failures, pauseEndedAt: time.Now()}
-		n.discovery.Options.Pause = recorder.pause
-		n.discovery.Run(n.ctx)
+		client := newPollingClient(service.Addr, seed, fleet, 41)
+		ctx, stop := context.WithCancel(t.Context())
+		recorder := &pauseRecorder{t: t, stop: stop, failures: failures, pauseEndedAt: time.Now()}
+		client.Options.Pause = recorder.pause
+		client.Run(ctx)
 		pauses := recorder.pauses
 		if len(pauses) != failures+1 || pauses[0] < 0 || pauses[0] >= window {
 			t.Fatalf("pauses %v, want %d, the first shorter than %v", pauses, failures+1, window)
@@ -96,7 +104,7 @@
 
 // TestUnresponsivePollsAreStaggered checks a large fleet that polls one discovery service. Calls
 // that get no response from the same moment on time out at different times, and each node makes
-// the next call early enough to learn of a change before discovery.NotificationDeadline.
+// the next call early enough to learn of a change before NotificationDeadline.
 func TestUnresponsivePollsAreStaggered(t *testing.T) {
 	const fleet = 12
 	waits := map[int]bool{}
@@ -126,33 +134,34 @@
 			<-silent
 			return false
 		}
-		respondList(c, `{"generation":8,"reset":false,"instances":[]}`)
+		respond(c, "200 OK", `{"generation":8,"reset":false,"instances":[]}`)
 		return calls.Load() < 3
 	})
-	n := newUnstartedNode(t, newPollingConfig(t, service.Addr, seed, 300))
-	n.discovery.Options.Timing.LongPollWait = maxWait
-	n.discovery.Options.Timing.ResponseMargin = maxWait
+	client := newPollingClient(service.Addr, seed, 300, 0)
+	client.Options.Timing.LongPollWait = maxWait
+	client.Options.Timing.ResponseMargin = maxWait
+	ctx, stop := context.WithCancel(t.Context())
 	pauses := 0
-	n.discovery.Options.Pause = func(_ context.Context, wait time.Duration) {
+	client.Options.Pause = func(_ context.Context, wait time.Duration) {
 		pauses++
 		if pauses != 2 { // the first one precedes the first call
 			return
 		}
-		if wait > discovery.NotificationDeadline-discovery.PollResponseAllowance || wait <= 0 {
+		if wait > NotificationDeadline-pollResponseAllowance || wait <= 0 {
 			t.Errorf("seed %d: a pause of %v after the call without a response, want above 0 and at most %v",
-				seed, wait, discovery.NotificationDeadline-discovery.PollResponseAllowance)
+				seed, wait, NotificationDeadline-pollResponseAllowance)
 		}
-		n.stop()
+		stop()
 	}
-	n.discovery.Run(n.ctx)
+	client.Run(ctx)
 	if ms := <-waits; ms > 1 {
 		t.Errorf("seed %d: the first call has a long-poll wait of %d ms, want at most 1 ms, as it may get no response", seed, ms)
 	}
 	var longPolls [2]int
 	for i := range longPolls {
 		longPolls[i] = <-waits
-		if float64(longPolls[i]) < discovery.MinLongPollWaitFraction*float64(maxWait.Milliseconds())-1 || longPolls[i] > int(maxWait.Milliseconds()) {
-			t.Errorf("seed %d: a long-poll wait of %d ms, want %v to 1 times %v", seed, longPolls[i], discovery.MinLongPollWaitFraction, maxWait)
+		if float64(longPolls[i]) < minLongPollWaitFraction*float64(maxWait.Milliseconds())-1 || longPolls[i] > int(maxWait.Milliseconds()) {
+			t.Errorf("seed %d: a long-poll wait of %d ms, want %v to 1 times %v", seed, longPolls[i], minLongPollWaitFraction, maxWait)
 		}
 	}
 	return longPolls
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -134,7 +134,7 @@
 	if !s.timing.Polled {
 		return s.timing.LongPollWait
 	}
-	fraction := MinLongPollWaitFraction + (1-MinLongPollWaitFraction)*s.rand.Float64()
+	fraction := minLongPollWaitFraction + (1-minLongPollWaitFraction)*s.rand.Float64()
 	return time.Duration(fraction * float64(s.timing.LongPollWait))
 }
 
@@ -211,10 +211,10 @@
 	case wasConnected:
 		// Nodes often fail together, so their next calls are spread over the jitter window, or
 		// over what is left of NotificationDeadline if that is shorter.
-		left := NotificationDeadline - PollResponseAllowance - took
+		left := NotificationDeadline - pollResponseAllowance - took
 		return s.uniform(max(min(s.timing.JitterWindow, left), 0))
 	}
-	interval := (1 - PollIntervalJitter*s.rand.Float64()) * float64(s.timing.PollInterval)
+	interval := (1 - pollIntervalJitter*s.rand.Float64()) * float64(s.timing.PollInterval)
 	return max(time.Duration(interval)-took, 0)
 }
 
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -44,23 +44,23 @@
 // NotificationDeadline keeps no standing queue.
 const (
 	// jitterWindowPerNode is the mean time between successive first calls, unless
-	// MaxJitterWindow limits the jitter window.
+	// maxJitterWindow limits the jitter window.
 	jitterWindowPerNode = 80 * time.Millisecond
-	// MaxJitterWindow limits the jitter window: a node counts as notified 4 s after SIGHUP,
+	// maxJitterWindow limits the jitter window: a node counts as notified 4 s after SIGHUP,
 	// so its first call to a new address must come earlier.
-	MaxJitterWindow = 3500 * time.Millisecond
+	maxJitterWindow = 3500 * time.Millisecond
 	// pollIntervalFactor is the poll interval in jitter windows.
 	pollIntervalFactor = 4
-	// MaxPollInterval limits the poll interval: the time from the start of a failed call to
+	// maxPollInterval limits the poll interval: the time from the start of a failed call to
 	// the start of the next one.
-	MaxPollInterval = 4 * time.Second
-	// PollIntervalJitter is the largest fraction by which a poll interval is shortened at
+	maxPollInterval = 4 * time.Second
+	// pollIntervalJitter is the largest fraction by which a poll interval is shortened at
 	// random.
-	PollIntervalJitter = 0.15
-	// PollResponseAllowance is the part of NotificationDeadline that the delays leave for a
+	pollIntervalJitter = 0.15
+	// pollResponseAllowance is the part of NotificationDeadline that the delays leave for a
 	// call: the service's response, its transfer and its processing by the node.
-	PollResponseAllowance = 1800 * time.Millisecond
-	// pollTimeout limits a call that is not held. It is longer than PollResponseAllowance:
+	pollResponseAllowance = 1800 * time.Millisecond
+	// pollTimeout limits a call that is not held. It is longer than pollResponseAllowance:
 	// early in a jitter window there is time to wait in a longer queue, and an earlier
 	// timeout would save nothing, as the service processes the call anyway. It is shorter than
 	// every poll interval of a fleet of ten nodes or more. The interval of a smaller fleet can
@@ -71,8 +71,8 @@
 	// random time, so that nodes whose calls hang together notice it at different times.
 	// Renewing a held call costs the service nothing.
 	pollLongPollWait = 2 * time.Second
-	// MinLongPollWaitFraction is the shortest long-poll wait as a fraction of the longest.
-	MinLongPollWaitFraction = 0.2
+	// minLongPollWaitFraction is the shortest long-poll wait as a fraction of the longest.
+	minLongPollWaitFraction = 0.2
 	// pollResponseMargin is how long a response may take beyond the long-poll wait before the
 	// call fails.
 	pollResponseMargin = 500 * time.Millisecond
@@ -105,14 +105,14 @@
 }
 
 func newPollTiming(gateways int) Timing {
-	window := min(time.Duration(gateways)*jitterWindowPerNode, MaxJitterWindow)
+	window := min(time.Duration(gateways)*jitterWindowPerNode, maxJitterWindow)
 	return Timing{
 		Polled:         true,
 		LongPollWait:   pollLongPollWait,
 		ResponseMargin: pollResponseMargin,
 		CallTimeout:    pollTimeout,
 		JitterWindow:   window,
-		PollInterval:   min(pollIntervalFactor*window, MaxPollInterval),
+		PollInterval:   min(pollIntervalFactor*window, maxPollInterval),
 	}
 }
 
