discovery: after an outage and a new address all nodes are notified within 4 s

While discovery does not answer most nodes wait for an answer, so nearly all intervals end 1.5 to 3.5 s after the change, and a service of fixed capacity is idle first and has a queue later.

--- a/internal/discovery/addresses_test.go
+++ b/internal/discovery/addresses_test.go
@@ -32,8 +32,9 @@
 }
 
 // Guards against new addresses in a row that put the calls to discovery off again and again. Every
-// change that is published meanwhile is notified within NotificationDeadline, and the calls of the
-// fleet leave no standing queue at a service of fixed capacity.
+// change that is published meanwhile is notified within NotificationDeadline, and within
+// addressNotificationDeadline of the next move. The calls of the fleet leave no standing queue at a
+// service of fixed capacity.
 func TestAddressesInRowDoNotDelayNotification(t *testing.T) {
 	const published = 500 * time.Millisecond // between two changes
 	for _, variant := range []struct {
@@ -47,14 +48,21 @@
 					f.newService.callCost = variant.callCost
 					f.Run(2 * NotificationDeadline)
 					f.moveThroughAddresses(interval)
-					publishedAt := map[version]time.Duration{}
+					start := f.Now
+					lastMove := start + (addressesInRow-1)*interval
+					var changes []publishedChange
 					for range addressesInRow * interval / published {
 						f.Run(published)
-						publishedAt[version{"new", f.newService.publish()}] = f.Now
+						change := publishedChange{version{"new", f.newService.publish()}, f.Now, NotificationDeadline}
+						if f.Now <= lastMove {
+							untilMove := (interval - (f.Now-start)%interval) % interval
+							change.deadline = min(change.deadline, untilMove+addressNotificationDeadline)
+						}
+						changes = append(changes, change)
 					}
 					paid := f.newService.paidCalls
 					f.Run(2 * NotificationDeadline)
-					f.checkNotified(t, publishedAt)
+					f.checkNotified(t, changes)
 					if delay := f.newService.queueDelay(); delay > 0 {
 						t.Errorf("queue delay %v, %v after the last change, want an empty queue", delay, 2*NotificationDeadline)
 					}
@@ -66,15 +74,22 @@
 	}
 }
 
-// checkNotified checks that all nodes were notified of all versions in time.
-func (f *fleet) checkNotified(t *testing.T, publishedAt map[version]time.Duration) {
+// publishedChange is a change of the list and the time within which all nodes must be notified of it.
+type publishedChange struct {
+	version  version
+	at       time.Duration
+	deadline time.Duration // counted from at
+}
+
+// checkNotified checks that all nodes were notified of all changes in time.
+func (f *fleet) checkNotified(t *testing.T, changes []publishedChange) {
 	t.Helper()
 	worst := time.Duration(0)
-	for v, at := range publishedAt {
-		late, longest := f.lateNodes(v, at)
+	for _, change := range changes {
+		late, longest := f.lateNodes(change.version, change.at, change.deadline)
 		if late > 0 {
 			t.Errorf("%d of %d nodes were notified of version %d late, the last after %v, want all within %v",
-				late, len(f.nodes), v.generation, longest, NotificationDeadline)
+				late, len(f.nodes), change.version.generation, longest, change.deadline)
 		}
 		worst = max(worst, longest)
 	}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -23,6 +23,9 @@
 	// the queue stays short under either limit.
 	shortQueueLimit = 2 * time.Second
 	longQueueLimit  = time.Hour // in effect no limit
+	// addressNotificationDeadline is the time after a change of the address after which a node counts
+	// as notified of what discovery has.
+	addressNotificationDeadline = 4 * time.Second
 	// maxRenewalGap is the longest time from a response to the next call that renews a watch.
 	maxRenewalGap = 200 * time.Millisecond
 )
@@ -197,7 +200,9 @@
 // fail ends a call without a response.
 func (n *fakeNode) fail(c *fakeCall) {
 	if n.remove(c.call) {
-		n.lastResponse = -maxRenewalGap - 1 // the next call uses a new connection and renews no watch
+		if c.call == n.schedule.current {
+			n.lastResponse = -maxRenewalGap - 1 // the next call uses a new connection and renews no watch
+		}
 		n.schedule.failed(c.call, n.Now)
 		n.step()
 	}
@@ -301,15 +306,15 @@
 	return f
 }
 
-// lateNodes returns how many nodes were notified of a version later than NotificationDeadline
-// after since, or not at all, and how long the last node took.
-func (f *fleet) lateNodes(v version, since time.Duration) (late int, longest time.Duration) {
+// lateNodes returns how many nodes were notified of a version later than a deadline, counted from
+// since, or not at all, and how long the last node took.
+func (f *fleet) lateNodes(v version, since, deadline time.Duration) (late int, longest time.Duration) {
 	for _, node := range f.nodes {
 		at, ok := node.notifiedAt[v]
 		if !ok {
 			at = f.Now
 		}
-		if !ok || at-since > NotificationDeadline {
+		if !ok || at-since > deadline {
 			late++
 		}
 		longest = max(longest, at-since)
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -34,6 +34,7 @@
 	address       string // to which the next call goes
 	addressNumber int    // number of address, counted from 1
 	connected     bool   // the last call to address succeeded
+	failing       bool   // the last call that ended, or was overdue, had no answer
 	nextCallAt    time.Duration
 	newWatchAt    time.Duration // start of the last call that did not follow an answer at once
 
@@ -94,6 +95,8 @@
 	case !s.timing.Polled:
 		s.nextCallAt = now
 	case callPending && s.nextCallAt <= latest:
+	case s.failing && intervalEnd > now:
+		s.nextCallAt = now + s.uniform(min(intervalEnd, latest)-now)
 	case s.calls > 0 && intervalEnd > now:
 		s.nextCallAt = min(intervalEnd, latest)
 	default:
@@ -177,6 +180,7 @@
 		return apply // it says nothing about the service at the new address
 	}
 	s.connected = true
+	s.failing = false
 	s.nextCallAt = now
 	s.backoff.Reset()
 	s.abandonLate(func(late *call) bool { return late.addressNumber != s.addressNumber })
@@ -199,6 +203,7 @@
 func (s *schedule) scheduleRetry(c *call, now time.Duration) {
 	wasConnected := s.connected
 	s.connected = false
+	s.failing = true
 	s.nextCallAt = now + s.retryDelay(wasConnected, now-c.startedAt)
 }
 
--- a/internal/discovery/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -71,7 +71,8 @@
 
 // Guards against nodes that learn too late of endpoints that start or drain. After any kind of
 // failure each node is notified of a change within NotificationDeadline, counted from when
-// discovery has the change and is reachable. After 300 nodes failed together, no queue remains
+// discovery has the change and is reachable, or within addressNotificationDeadline of a change of the
+// address. After 300 nodes failed together, no queue remains
 // at a service of fixed capacity.
 func TestFleetIsNotifiedWithinDeadline(t *testing.T) {
 	for _, variant := range discoveryVariants {
@@ -80,18 +81,22 @@
 				f := newFleet(fleetSize, variant.mode, variant.queueLimit, true, serviceUp)
 				f.oldService.publish() // a change that the nodes do not know yet
 				f.Run(2 * NotificationDeadline)
-				late, longest := f.lateNodes(version{"old", 2}, 0)
+				late, longest := f.lateNodes(version{"old", 2}, 0, NotificationDeadline)
 				if late > 0 {
 					t.Errorf("after the start %d of %d nodes were notified late, the last after %v, want all within %v",
 						late, fleetSize, longest, NotificationDeadline)
 				}
 				changed := e.event(f)
 				since := f.Now
+				deadline := NotificationDeadline
+				if changed.service == f.newService.name {
+					deadline = addressNotificationDeadline
+				}
 				f.Run(2 * NotificationDeadline)
-				late, longest = f.lateNodes(changed, since)
+				late, longest = f.lateNodes(changed, since, deadline)
 				if late > 0 {
 					t.Errorf("%d of %d nodes were notified of the change late, the last after %v, want all within %v",
-						late, fleetSize, longest, NotificationDeadline)
+						late, fleetSize, longest, deadline)
 				}
 				if delay := max(f.oldService.queueDelay(), f.newService.queueDelay()); delay > 0 {
 					t.Errorf("queue delay %v, %v after the event, want an empty queue", delay, 2*NotificationDeadline)
--- a/internal/discovery/slow_test.go
+++ b/internal/discovery/slow_test.go
@@ -42,7 +42,7 @@
 	changed := f.publishChange()
 	since := f.Now
 	f.Run(2 * NotificationDeadline)
-	late, longest := f.lateNodes(changed, since)
+	late, longest := f.lateNodes(changed, since, NotificationDeadline)
 	if late > 0 {
 		t.Errorf("%d of %d nodes were notified of the change late, the last after %v, want all within %v",
 			late, len(f.nodes), longest, NotificationDeadline)
