discovery: a late answer's connection is kept for the next call

Cause: closed idle connections when a call was overdue, as was done when a call was given up. net/http then also closes connections that become idle before its next request, so the connection of a late answer was closed and the next call began a new watch instead of renewing one. The same came of a late call that failed while a watch was in progress.

Change: only a failed current call closes idle connections; an overdue one keeps its connection to itself, so the next call uses another one anyway.

--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -23,10 +23,9 @@
 	respond(conn, "200 OK", text)
 }
 
-// runClient runs a client with a cached list of version 7, whose calls are overdue after some
-// milliseconds, until the test ends. It returns the versions that the client applies.
-func runClient(t *testing.T, mode, address string) (*Client, <-chan int64) {
-	t.Helper()
+// newClient returns a client with a cached list of version 7, whose calls are overdue after some
+// milliseconds, and the versions that it applies.
+func newClient(mode, address string) (*Client, <-chan int64) {
 	const overdueAfter = 20 * time.Millisecond
 	timing := NewTiming(&config.Settings{DiscoveryMode: mode, Gateways: 1})
 	timing.CallTimeout = overdueAfter
@@ -39,6 +38,12 @@
 		OnList:     func(list List, _ policy.UpdateScope) { versions <- list.Generation },
 		Log:        slog.New(slog.DiscardHandler),
 	})
+	return client, versions
+}
+
+// runUntilEnd runs a client until the test ends.
+func runUntilEnd(t *testing.T, client *Client) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
@@ -49,7 +54,6 @@
 		cancel()
 		testsupport.Receive(t, "the end of the client", ended)
 	})
-	return client, versions
 }
 
 // Guards against throwing away the answer to a call that was overdue when it came, and against
@@ -81,7 +85,8 @@
 			io.Copy(io.Discard, conn) // hangs until the client ends
 			return false
 		})
-		_, versions := runClient(t, mode, service.Addr)
+		client, versions := newClient(mode, service.Addr)
+		runUntilEnd(t, client)
 		if got := testsupport.Receive(t, "the list of the first call", versions); got != 9 {
 			t.Errorf("%s: version %d is applied, want 9", mode, got)
 		}
@@ -118,7 +123,8 @@
 		respondVersion(conn, 3) // another service numbers its versions independently
 		return true
 	})
-	client, versions := runClient(t, "push", previous.Addr)
+	client, versions := newClient("push", previous.Addr)
+	runUntilEnd(t, client)
 	testsupport.Receive(t, "the watch", watching)
 	client.Options.Lock.Lock()
 	client.ChangeAddress(next.Addr)
@@ -135,3 +141,34 @@
 		t.Errorf("version %d is applied, want 3", got)
 	}
 }
+
+// Guards against starting a watch anew after a late answer: the next call comes on the connection of
+// that answer, although calls were overdue in between, so that it renews the watch.
+func TestLateAnswerKeepsItsConnection(t *testing.T) {
+	ports := make(chan string, 16)
+	paused := make(chan struct{})
+	var calls atomic.Int32
+	service := testsupport.StartFakeServer(t, func(conn net.Conn, _ *http.Request, _ []byte) bool {
+		ports <- conn.RemoteAddr().String()
+		if calls.Add(1) > 1 {
+			io.Copy(io.Discard, conn) // hangs until the client ends
+			return false
+		}
+		<-paused
+		respondVersion(conn, 8)
+		return true
+	})
+	var pauses atomic.Int32
+	client, _ := newClient("push", service.Addr)
+	client.Options.Pause = func(ctx context.Context, _ time.Duration) {
+		if pauses.Add(1) == 1 { // the first call is overdue
+			close(paused)
+		}
+		<-ctx.Done()
+	}
+	runUntilEnd(t, client)
+	first := testsupport.Receive(t, "the first call", ports)
+	if next := testsupport.Receive(t, "the call after the late answer", ports); next != first {
+		t.Errorf("the call after the late answer comes on the connection %s, want %s", next, first)
+	}
+}
--- a/internal/discovery/runner.go
+++ b/internal/discovery/runner.go
@@ -112,7 +112,6 @@
 		r.handle(result)
 	case <-timer.C:
 		r.client.Options.Log.Debug("call to discovery is overdue", "address", c.address, "after", c.overdueAfter)
-		r.http.CloseIdleConnections() // so that the next call dials a new connection
 		r.schedule.overdue(r.now())
 	case <-addressCtx.Done():
 	}
@@ -124,7 +123,9 @@
 	delete(r.cancelers, result.call)
 	if result.err != nil {
 		r.client.Options.Log.Debug("call to discovery failed", "err", result.err)
-		r.http.CloseIdleConnections() // so that the next call dials a new connection
+		if result.call == r.schedule.current {
+			r.http.CloseIdleConnections() // so that the next call dials a new connection
+		}
 		r.schedule.failed(result.call, r.now())
 		return
 	}
