discovery: the times after which a call is overdue are named so

Cause: since CallTimeout and pollTimeout do not end a call, they let the next one follow. Change: they are OverdueAfter and pollOverdueAfter, and the comments speak of overdue calls. Names and comments only; the tests of internal/discovery and internal/edge pass.

--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -28,7 +28,7 @@
 func newClient(mode, address string) (*Client, <-chan int64) {
 	const overdueAfter = 20 * time.Millisecond
 	timing := NewTiming(&config.Settings{DiscoveryMode: mode, Gateways: 1})
-	timing.CallTimeout = overdueAfter
+	timing.OverdueAfter = overdueAfter
 	timing.PollInterval = overdueAfter
 	versions := make(chan int64, 16)
 	client := New(address, Options{
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -23,8 +23,8 @@
 // safe for concurrent use.
 //
 // One call at a time is the current one. A call that is overdue makes way for the next one but
-// stays open, because a slow service still answers it: giving it up would make every call to a
-// service that is slower than the calls' patience fail.
+// stays open, because a slow service still answers it. If it were given up, no call to a service that
+// always takes longer would succeed.
 type schedule struct {
 	timing  Timing
 	rand    *rand.Rand
@@ -118,7 +118,7 @@
 		fullList:      s.listAddress != s.addressNumber,
 		index:         s.generation,
 		longPollWait:  immediatePollWait,
-		overdueAfter:  s.timing.CallTimeout,
+		overdueAfter:  s.timing.OverdueAfter,
 	}
 	if s.connected {
 		next.longPollWait = s.longPollWait()
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -19,8 +19,8 @@
 const (
 	// WatchLongPollWait is how long the agent may hold a watch.
 	WatchLongPollWait = 4 * time.Second
-	// watchResponseMargin is how long a response may take beyond the long-poll wait before
-	// the call fails; also the timeout of a call that the agent does not hold.
+	// watchResponseMargin is how long a response may take beyond the long-poll wait before the
+	// call is overdue; also the time after which a call is that the agent does not hold.
 	watchResponseMargin = time.Second
 
 	// The bound of the first backoff is the drain grace divided by minBackoffDivisor, limited
@@ -60,12 +60,11 @@
 	// pollResponseAllowance is the part of NotificationDeadline that the delays leave for a
 	// call: the service's response, its transfer and its processing by the node.
 	pollResponseAllowance = 1800 * time.Millisecond
-	// pollTimeout limits a call that is not held. It is longer than pollResponseAllowance:
-	// early in a jitter window there is time to wait in a longer queue, and an earlier
-	// timeout would save nothing, as the service processes the call anyway. It is shorter than
-	// every poll interval of a fleet of ten nodes or more. The interval of a smaller fleet can
-	// be shorter than pollTimeout; a node then calls again as soon as a call has timed out.
-	pollTimeout = 2500 * time.Millisecond
+	// pollOverdueAfter is the time after which a call that is not held is overdue. It is longer
+	// than pollResponseAllowance: early in a jitter window there is time to wait in a longer
+	// queue. It is shorter than every poll interval of a fleet of ten nodes or more. The interval
+	// of a smaller fleet can be shorter; a node then calls again as soon as a call is overdue.
+	pollOverdueAfter = 2500 * time.Millisecond
 
 	// pollLongPollWait is the longest time for which a call is held. Each call is held for a
 	// random time, so that nodes whose calls hang together notice it at different times.
@@ -74,7 +73,7 @@
 	// minLongPollWaitFraction is the shortest long-poll wait as a fraction of the longest.
 	minLongPollWaitFraction = 0.2
 	// pollResponseMargin is how long a response may take beyond the long-poll wait before the
-	// call fails.
+	// call is overdue.
 	pollResponseMargin = 500 * time.Millisecond
 )
 
@@ -82,8 +81,8 @@
 type Timing struct {
 	Polled         bool          // discovery is one service for the fleet, else an agent on this machine
 	LongPollWait   time.Duration // longest time for which discovery may hold a call
-	ResponseMargin time.Duration // time beyond the long-poll wait after which a held call fails
-	CallTimeout    time.Duration // time after which a call that is not held fails
+	ResponseMargin time.Duration // time beyond the long-poll wait after which a held call is overdue
+	OverdueAfter   time.Duration // time after which a call that is not held is overdue
 
 	// Set only if Polled is true.
 
@@ -110,7 +109,7 @@
 		Polled:         true,
 		LongPollWait:   pollLongPollWait,
 		ResponseMargin: pollResponseMargin,
-		CallTimeout:    pollTimeout,
+		OverdueAfter:   pollOverdueAfter,
 		JitterWindow:   window,
 		PollInterval:   min(pollIntervalFactor*window, maxPollInterval),
 	}
@@ -121,7 +120,7 @@
 	return Timing{
 		LongPollWait:   WatchLongPollWait,
 		ResponseMargin: watchResponseMargin,
-		CallTimeout:    watchResponseMargin,
+		OverdueAfter:   watchResponseMargin,
 		MinBackoff:     minBackoff,
 		MaxBackoff:     max(min(maxBackoffFactor*minBackoff, drainGrace/maxBackoffDivisor), minBackoff),
 	}
