--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -20,7 +20,7 @@
 // respondVersion writes a response that has an incremental update with one endpoint.
 func respondVersion(conn net.Conn, generation int) {
 	text := fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[{"instanceId":"s-0","lifecycle":"SERVING"}]}`, generation)
-	respond(conn, "200 OK", text)
+	testsupport.Respond(conn, "200 OK", text)
 }
 
 // newClient returns a client with a cached list of version 7, whose calls are overdue after some
--- a/internal/discovery/polling_test.go
+++ b/internal/discovery/polling_test.go
@@ -30,12 +30,6 @@
 	})
 }
 
-// respond writes a response and keeps the connection open.
-func respond(conn net.Conn, status, body string) bool {
-	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
-	return true
-}
-
 // pauseRecorder replaces the pauses between the calls of a client that polls discovery: it records
 // and checks them without waiting, and stops the client after a number of failed calls.
 type pauseRecorder struct {
@@ -73,7 +67,7 @@
 	uris := make(chan string, 1024)
 	service := testsupport.StartFakeServer(t, func(c net.Conn, req *http.Request, _ []byte) bool {
 		uris <- req.RequestURI
-		return respond(c, "503 Service Unavailable", "")
+		return testsupport.Respond(c, "503 Service Unavailable", "")
 	})
 	const fleet, failures = 80, 4
 	const window = maxJitterWindow // the longest window, as 80 nodes would need a longer one
@@ -134,7 +128,7 @@
 			<-silent
 			return false
 		}
-		respond(c, "200 OK", `{"generation":8,"reset":false,"instances":[]}`)
+		testsupport.Respond(c, "200 OK", `{"generation":8,"reset":false,"instances":[]}`)
 		return calls.Load() < 3
 	})
 	client := newPollingClient(service.Addr, seed, 300, 0)
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -42,9 +42,9 @@
 	late    []*call // overdue calls that are still open, oldest first
 	calls   int     // calls made so far
 
-	generation  int64 // version of the list
-	listAddress int   // number of the address that the list came from; 0: there is no list
-	callsBefore int   // calls made when the list came
+	generation         int64 // version of the list
+	listAddressNumber  int   // number of the address that the list came from; 0: there is no list
+	lastCallBeforeList int   // number of the latest call that had started when the list came
 }
 
 // newSchedule returns a schedule that continues from a cached list: the first call asks for
@@ -60,7 +60,7 @@
 		generation: cached.Generation,
 	}
 	if len(cached.Instances) > 0 {
-		s.listAddress = 1
+		s.listAddressNumber = 1
 	}
 	return s
 }
@@ -115,7 +115,7 @@
 		address:       s.address,
 		addressNumber: s.addressNumber,
 		startedAt:     now,
-		fullList:      s.listAddress != s.addressNumber,
+		fullList:      s.listAddressNumber != s.addressNumber,
 		index:         s.generation,
 		longPollWait:  immediatePollWait,
 		overdueAfter:  s.timing.OverdueAfter,
@@ -173,8 +173,8 @@
 	apply = s.isNewer(c, generation)
 	if apply {
 		s.generation = generation
-		s.listAddress = c.addressNumber
-		s.callsBefore = s.calls
+		s.listAddressNumber = c.addressNumber
+		s.lastCallBeforeList = s.calls
 	}
 	if c.addressNumber != s.addressNumber {
 		return apply // it says nothing about the service at the new address
@@ -193,10 +193,10 @@
 // isNewer reports whether the list that answers a call is newer than the one that the node has. A
 // call that was open when the node's list came may be answered with an older one.
 func (s *schedule) isNewer(c *call, generation int64) bool {
-	if c.addressNumber != s.listAddress {
-		return c.addressNumber > s.listAddress
+	if c.addressNumber != s.listAddressNumber {
+		return c.addressNumber > s.listAddressNumber
 	}
-	return c.number > s.callsBefore || generation > s.generation
+	return c.number > s.lastCallBeforeList || generation > s.generation
 }
 
 // scheduleRetry sets the time of the call that follows one without an answer.
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -20,7 +20,7 @@
 	// WatchLongPollWait is how long the agent may hold a watch.
 	WatchLongPollWait = 4 * time.Second
 	// watchResponseMargin is how long a response may take beyond the long-poll wait before the
-	// call is overdue; also the time after which a call is that the agent does not hold.
+	// call is overdue. A call that the agent does not hold is overdue after the same time.
 	watchResponseMargin = time.Second
 
 	// The bound of the first backoff is the drain grace divided by minBackoffDivisor, limited
--- a/internal/edge/discovery_test.go
+++ b/internal/edge/discovery_test.go
@@ -20,14 +20,12 @@
 
 // respondList writes a response with a list of endpoints and keeps the connection open.
 func respondList(conn net.Conn, list string) bool {
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
-	return true
+	return testsupport.Respond(conn, "200 OK", list)
 }
 
 // respondUnavailable writes a response with status 503 and keeps the connection open.
 func respondUnavailable(conn net.Conn) bool {
-	fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-	return true
+	return testsupport.Respond(conn, "503 Service Unavailable", "")
 }
 
 // oneServingInstance returns a list with one serving endpoint, s-0.
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -1,6 +1,7 @@
-// Package socket checks the state of a connection's peer without reading from the
-// connection. Package frontend uses it to detect that a client has disconnected, package
-// upstream to check that an idle connection can carry another request.
+// Package socket uses system calls on a connection that package net does not offer: it checks the
+// state of the peer without reading from the connection, and acknowledges data at once. It also has
+// reads and writes that outlast transient errors. Package frontend detects with it that a client has
+// disconnected, package upstream that an idle connection can carry another request.
 //
 // The package keeps no state; its functions may be called from any goroutine.
 package socket
--- a/internal/testsupport/server.go
+++ b/internal/testsupport/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,13 @@
 // goroutine of the connection, and may block.
 type Responder func(conn net.Conn, req *http.Request, body []byte) (keepOpen bool)
 
+// Respond writes a response with a status line's code and reason, and a body, to the connection, and
+// reports that the connection stays open.
+func Respond(conn net.Conn, status, body string) (keepOpen bool) {
+	fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	return true
+}
+
 // RespondWith returns a responder that writes the same text for each request.
 func RespondWith(text string) Responder {
 	return func(conn net.Conn, _ *http.Request, _ []byte) bool {
